--- /dev/null
+++ b/Makefile
@@ -0,0 +1,41 @@
+# Every target makes the virtual environment first where it is missing.
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+PACKAGES := model settings wire policy platform upstream caller daemon cli \
+	fakes lab
+SOURCES := packages
+STAMP := $(VENV)/.installed
+
+.PHONY: test demo demo-nordvind lint clean
+
+$(STAMP): requirements.txt $(wildcard packages/*/pyproject.toml)
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check \
+		--require-hashes -r requirements.txt
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps \
+		--no-build-isolation $(foreach p,$(PACKAGES),-e packages/$(p))
+	touch $@
+
+test: $(STAMP)
+	@set -e; for p in $(PACKAGES); do \
+		if ls packages/$$p/tests/test_*.py >/dev/null 2>&1; then \
+			echo "== $$p"; \
+			$(BIN)/python -m nose2 -s packages/$$p/tests \
+				-t packages/$$p/tests; \
+		fi; \
+	done
+
+demo: $(STAMP)
+	$(BIN)/godwitflow demo --deployment brittany
+
+demo-nordvind: $(STAMP)
+	$(BIN)/godwitflow demo --deployment svealand
+
+lint: $(STAMP)
+	$(BIN)/ruff format --check --quiet packages
+	$(BIN)/flake8 packages
+	$(BIN)/mypy $(foreach p,$(PACKAGES),packages/$(p)/src)
+
+clean:
+	rm -rf $(VENV) .mypy_cache .ruff_cache
--- /dev/null
+++ b/packages/caller/src/godwitflow/caller/__init__.py
@@ -0,0 +1,1 @@
+"""A caller library: address answers, fail-over, safe resends."""
--- /dev/null
+++ b/packages/cli/src/godwitflow/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operator's verbs and command line."""
--- /dev/null
+++ b/packages/cli/src/godwitflow/cli/verbs.py
@@ -0,0 +1,109 @@
+"""What an operator can do, as plain functions.
+
+The command line is a thin shell over these; each takes what it works on
+and returns a value or raises one of the project's errors.
+"""
+
+import pathlib
+import typing
+
+import msgspec
+import treq
+
+from godwitflow.caller import client
+from godwitflow.daemon import operators
+from godwitflow.model import ids
+from godwitflow.platform import changes
+from godwitflow.platform import http as store_http
+from godwitflow.settings import config
+from godwitflow.settings import folder
+
+STATUS_TIMEOUT_S = 3.0
+
+_status_decoder = msgspec.json.Decoder(operators.Status)
+
+
+def check(path: pathlib.Path) -> config.Config:
+    """Check a folder with no server; raises ``SettingsError``."""
+    return config.parse(folder.read(path))
+
+
+def origins(path: pathlib.Path) -> list[tuple[str, str, str]]:
+    """List each value of a folder with the place that set it."""
+    files = folder.read(path)
+    config.parse(files)
+    return config.origins(files)
+
+
+async def diff(
+    reactor: typing.Any, platform: str, path: pathlib.Path
+) -> changes.Difference:
+    """Return what an apply of a folder would change."""
+    files = folder.read(path)
+    config.parse(files)
+    store = store_http.HttpStore(reactor, platform)
+    head, _ = await changes.read_head(store)
+    refs = changes.accepted.refs(files)
+    return changes.compare(head.files, refs)
+
+
+async def apply(
+    reactor: typing.Any,
+    platform: str,
+    path: pathlib.Path,
+    author: str,
+    seen: ids.Generation | None = None,
+) -> changes.Applied:
+    """Check a folder and make it the accepted configuration."""
+    files = folder.read(path)
+    config.parse(files)
+    store = store_http.HttpStore(reactor, platform)
+    return await changes.apply(store, files, author, seen)
+
+
+async def accepted(reactor: typing.Any, platform: str) -> changes.Current:
+    """Read the accepted configuration back."""
+    return await changes.read(store_http.HttpStore(reactor, platform))
+
+
+async def status(
+    reactor: typing.Any, operator_urls: list[str]
+) -> dict[str, operators.Status | None]:
+    """Ask nodes for their status; None for one that does not answer.
+
+    Nodes that the first ones know of are asked too.
+    """
+    found: dict[str, operators.Status | None] = {}
+    waiting = list(operator_urls)
+    while waiting:
+        url = waiting.pop(0)
+        if url in found:
+            continue
+        found[url] = await _status_of(reactor, url)
+        answer = found[url]
+        if answer is not None:
+            waiting += [row.operator for row in answer.members]
+        waiting = [item for item in waiting if item and item not in found]
+    return found
+
+
+async def _status_of(reactor: typing.Any, url: str) -> operators.Status | None:
+    try:
+        response = await treq.get(
+            f"{url}/status", timeout=STATUS_TIMEOUT_S, reactor=reactor
+        )
+        body = await treq.content(response)
+        return _status_decoder.decode(body)
+    except Exception:
+        return None
+
+
+async def query(
+    reactor: typing.Any, entry_points: tuple[str, ...], ask: client.Ask
+) -> client.Result:
+    """Send one request as a caller would."""
+    caller = client.Caller(reactor, entry_points)
+    try:
+        return await caller.ask(ask)
+    finally:
+        await caller.close()
--- /dev/null
+++ b/packages/daemon/src/godwitflow/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The query tier's process: front, dispatcher and control."""
--- /dev/null
+++ b/packages/daemon/src/godwitflow/daemon/callers.py
@@ -0,0 +1,108 @@
+"""The callers' HTTP interface: addresses and queries."""
+
+import typing
+
+import klein
+import msgspec
+
+from godwitflow.daemon import control as control_module
+from godwitflow.daemon import front as front_module
+from godwitflow.model import answers
+from godwitflow.model import errors
+from godwitflow.model import ids
+from godwitflow.model import queries
+
+JSON = "application/json"
+MAX_TRACEPARENT_CHARS = 55
+
+
+class AddressReply(msgspec.Struct):
+    """The reply to a caller that asks which addresses to use."""
+
+    addresses: tuple[str, ...]
+    max_age_ms: float
+
+
+class Callers:
+    """Routes of the callers' listener."""
+
+    app = klein.Klein()
+
+    def __init__(
+        self,
+        front: front_module.Front,
+        control: control_module.Control,
+    ) -> None:
+        self.front = front
+        self.control = control
+        self.open_requests = 0
+
+    def resource(self) -> typing.Any:
+        """Return the resource that a site serves."""
+        return self.app.resource()
+
+    @app.route("/v1/addresses", methods=["GET"])
+    def addresses(self, request: typing.Any) -> bytes:
+        """Say which addresses to use, for how long."""
+        given = request.args.get(b"failure_domain", [b""])[0]
+        near = None
+        if given:
+            text = given.decode("utf-8", "replace")
+            near = ids.FailureDomain(text)
+        chosen = self.control.addresses(near)
+        request.setHeader("Content-Type", JSON)
+        if not chosen.addresses:
+            request.setResponseCode(503)
+        reply = AddressReply(chosen.addresses, chosen.max_age_ms)
+        return msgspec.json.encode(reply)
+
+    @app.route("/v1/query", methods=["POST"])
+    async def query(self, request: typing.Any) -> bytes:
+        """Answer or refuse one request."""
+        self.open_requests += 1
+        try:
+            result = await self._query(request)
+        finally:
+            self.open_requests -= 1
+        return _send(request, result)
+
+    async def _query(
+        self, request: typing.Any
+    ) -> answers.Answer | answers.Refusal:
+        try:
+            query = queries.decode(request.content.read())
+        except errors.RequestInvalidError as error:
+            return answers.Refusal(
+                answers.RefusalCode(error.code),
+                answers.Ran.NOT_RUN,
+                error.message,
+            )
+        header = request.getHeader("traceparent") or ""
+        return await self.front.query(query, header[:MAX_TRACEPARENT_CHARS])
+
+    @app.handle_errors(Exception)
+    def failed(self, request: typing.Any, failure: typing.Any) -> bytes:
+        """Turn routing errors into typed refusals."""
+        code = getattr(failure.value, "code", 500)
+        if not isinstance(code, int) or not 400 <= code < 500:
+            raise failure.value
+        refusal = answers.Refusal(
+            answers.RefusalCode.BAD_REQUEST,
+            answers.Ran.NOT_RUN,
+            f"no such call: {request.method.decode('ascii', 'replace')}",
+        )
+        request.setResponseCode(code)
+        request.setHeader("Content-Type", JSON)
+        return msgspec.json.encode(refusal)
+
+
+def _send(
+    request: typing.Any, result: answers.Answer | answers.Refusal
+) -> bytes:
+    request.setHeader("Content-Type", JSON)
+    if isinstance(result, answers.Refusal):
+        request.setResponseCode(result.http_status)
+        if result.retry_after_ms is not None:
+            seconds = -(-result.retry_after_ms // 1_000)
+            request.setHeader("Retry-After", str(seconds))
+    return msgspec.json.encode(result)
--- /dev/null
+++ b/packages/daemon/src/godwitflow/daemon/control.py
@@ -0,0 +1,325 @@
+"""The control task: members, configuration, indexes, owners."""
+
+import random
+import typing
+
+from twisted.internet import defer
+
+from godwitflow.daemon import clock
+from godwitflow.daemon import logs
+from godwitflow.daemon import metrics as metrics_module
+from godwitflow.model import errors
+from godwitflow.model import ids
+from godwitflow.platform import store as store_module
+from godwitflow.platform import vms
+from godwitflow.policy import addresses
+from godwitflow.policy import budget
+from godwitflow.policy import catalog
+from godwitflow.policy import membership
+from godwitflow.policy import ownership
+from godwitflow.policy import watchers
+from godwitflow.settings import accepted
+from godwitflow.settings import config
+from godwitflow.wire import messages
+
+WATCH_WAIT_MS = 20_000.0
+WATCH_RETRY_MS = 500.0
+ROSTER_PERIOD_MS = 5_000.0
+POLL_PERIOD_MS = 30_000.0
+STORE_CALLS_PER_S = 5.0
+STORE_BURST = 40.0
+MAX_PUSH_OBJECTS = 50
+
+Send = typing.Callable[[ids.NodeId, messages.Message], None]
+
+_log = logs.logger("control")
+
+
+class Control:
+    """Keeps the member table and the catalog up to date."""
+
+    def __init__(
+        self,
+        reactor: typing.Any,
+        now_ms: clock.NowMs,
+        store: store_module.Store,
+        table: membership.Membership,
+        held: catalog.Catalog,
+        post: typing.Callable[[str, messages.Message], None],
+        metrics: metrics_module.Metrics,
+        seeds: tuple[str, ...],
+        seed: int,
+    ) -> None:
+        self.reactor = reactor
+        self.now_ms = now_ms
+        self.store = store
+        self.table = table
+        self.catalog = held
+        self.post = post
+        self.metrics = metrics
+        self.seeds = seeds
+        self.random = random.Random(seed)
+        self.owners = ownership.Owners()
+        self.calls = budget.RateBudget(STORE_CALLS_PER_S, STORE_BURST)
+        self.on_catalog: typing.Callable[[str], None]
+        self.on_member_lost: typing.Callable[[ids.NodeId], None]
+        self.stopping = False
+        self.store_failures = 0
+        self._watching: set[str] = set()
+        self._assigned: tuple[str, ...] = ()
+        self._fetching: set[str] = set()
+        self._gone: set[ids.NodeId] = set()
+        self._next_roster_ms = 0.0
+        self._next_poll_ms = 0.0
+
+    @property
+    def node(self) -> ids.NodeId:
+        """This node's id."""
+        return self.table.me.node
+
+    def route(self, key: str) -> list[ids.NodeId]:
+        """Return the owner of a key, then who takes over from it."""
+        if not self.owners.members:
+            return [self.node]
+        return self.owners.candidates(key)
+
+    def settings(self) -> config.Config | None:
+        """Return the configuration in force."""
+        return self.catalog.config
+
+    # Time -------------------------------------------------------------
+
+    def tick(self) -> None:
+        """Run what is due; called every few tens of milliseconds."""
+        now_ms = self.now_ms()
+        self.table.digests = (self.catalog.summary(),)
+        for action in self.table.tick(now_ms):
+            self.post(action.inner, action.message)
+        if self.table.changed:
+            self._follow_members()
+        if now_ms >= self._next_roster_ms:
+            self._next_roster_ms = now_ms + ROSTER_PERIOD_MS
+            defer.ensureDeferred(self._read_roster())
+            self._greet_seeds()
+        if now_ms >= self._next_poll_ms:
+            self._schedule_poll(now_ms)
+        self._watch_own()
+        self._fetch_files()
+
+    def _follow_members(self) -> None:
+        self.table.changed = False
+        members = tuple(
+            ownership.Candidate(update.node, update.failure_domain)
+            for update in self.table.alive()
+            if update.joined or update.node == self.node
+        )
+        if self.owners.update(members):
+            self.metrics.count("owner_changes")
+        self.follow_watches()
+        for node, member in self.table.members.items():
+            dead = member.update.state is messages.MemberState.DEAD
+            if dead and node not in self._gone:
+                self._gone.add(node)
+                self.on_member_lost(node)
+            elif not dead:
+                self._gone.discard(node)
+
+    def follow_watches(self) -> None:
+        """Work out anew which objects this node watches."""
+        members = [
+            ownership.Candidate(update.node, update.failure_domain)
+            for update in self.table.alive()
+        ]
+        self._assigned = watchers.assigned(
+            self.node, members, self.catalog.watched_names()
+        )
+
+    def follow_keys(self) -> None:
+        """Bound the owners' load over the replica sets now known."""
+        keys = [
+            f"{index.service}/{set_id}"
+            for index in self.catalog.indexes.values()
+            for set_id in index.replica_sets
+        ]
+        self.owners.set_keys(tuple(sorted(keys)))
+
+    def _schedule_poll(self, now_ms: float) -> None:
+        """Poll the head now and then, in case each watcher fails.
+
+        The wait grows with the fleet, so the fleet's rate does not.
+        """
+        members = len(self.table.members) + 1
+        spread = self.random.uniform(0.5, 1.5)
+        wait_ms = POLL_PERIOD_MS * max(1.0, members / 9.0) * spread
+        first = self._next_poll_ms == 0.0
+        self._next_poll_ms = now_ms + wait_ms
+        if first and self.calls.take(now_ms):
+            defer.ensureDeferred(self._fetch(accepted.HEAD_NAME))
+
+    # Members ----------------------------------------------------------
+
+    async def _read_roster(self) -> None:
+        if not self.calls.take(self.now_ms()):
+            return
+        try:
+            stored = await self.store.get(vms.LIST_NAME)
+            listed = vms.decode(stored.value)
+        except errors.GodwitflowError:
+            self.store_failures += 1
+            return
+        rows = [_from_roster(vm) for vm in listed]
+        self.table.add_roster(self.now_ms(), rows)
+
+    def _greet_seeds(self) -> None:
+        """Ask for the member table where too few members are known."""
+        live = [
+            member.update.inner
+            for member in self.table.members.values()
+            if member.update.state is messages.MemberState.ALIVE
+        ]
+        if live and self.table.me.joined:
+            return
+        targets = list(self.seeds) + live
+        self.random.shuffle(targets)
+        for inner in targets[:3]:
+            self.post(inner, messages.MembersPull())
+
+    def on_members_pull(self, inner: str) -> None:
+        """Send the member table to a new member."""
+        self.post(inner, messages.MembersPush(self.table.table()))
+
+    def on_members_push(self, push: messages.MembersPush) -> None:
+        """Take a peer's member table."""
+        self.table.merge(self.now_ms(), push.updates)
+
+    # Digests ----------------------------------------------------------
+
+    def on_digests(
+        self, inner: str, digests: tuple[messages.Digest, ...]
+    ) -> None:
+        """Compare a peer's digests with what is held here."""
+        behind = self.catalog.behind(digests)
+        if behind:
+            self.post(inner, messages.Pull(behind))
+            return
+        if self.catalog.differs(digests):
+            names = self.catalog.digests()
+            self.post(inner, messages.ProbeAck(0, (), names))
+
+    def on_pull(self, inner: str, pull: messages.Pull) -> None:
+        """Send objects that a peer asked for, with the head's files."""
+        names = list(pull.names)[:MAX_PUSH_OBJECTS]
+        for name in names:
+            held = self.catalog.objects.get(name)
+            if held is not None:
+                push = messages.Push(name, held.version, held.value)
+                self.post(inner, push)
+
+    def on_push(self, inner: str, push: messages.Push) -> None:
+        """Take an object from a peer; ask it for files still missing."""
+        self._offer(push.name, push.version, push.value)
+        missing = self.catalog.missing_files()
+        if push.name == accepted.HEAD_NAME and missing:
+            self.post(inner, messages.Pull(missing))
+
+    def _offer(self, name: str, version: int, value: bytes) -> None:
+        refused = self.catalog.refused
+        generation = self.catalog.head and self.catalog.head.generation
+        if self.catalog.offer(name, version, value):
+            self.on_catalog(name)
+        if self.catalog.refused > refused:
+            _log.warn("an object was refused", name=name, version=version)
+        head = self.catalog.head
+        if head is not None and head.generation != generation:
+            _log.info("configuration in force", generation=head.generation)
+
+    # Store ------------------------------------------------------------
+
+    def _watch_own(self) -> None:
+        """Start the watches that fall to this node."""
+        if self.stopping:
+            return
+        for name in self._assigned:
+            if name not in self._watching:
+                self._watching.add(name)
+                defer.ensureDeferred(self._watch(name))
+
+    async def _watch(self, name: str) -> None:
+        """Watch one object for as long as that falls to this node."""
+        failed = False
+        if not self.calls.take(self.now_ms()):
+            await self._pause(WATCH_RETRY_MS)
+            self._watching.discard(name)
+            return
+        held = self.catalog.objects.get(name)
+        after = held.version if held else 0
+        try:
+            stored = await self.store.watch(name, after, WATCH_WAIT_MS)
+            self._offer(name, stored.version, stored.value)
+        except errors.ObjectMissingError:
+            failed = True
+        except errors.StoreError:
+            failed = True
+            self.store_failures += 1
+        if failed:
+            spread = self.random.uniform(0.5, 1.5)
+            await self._pause(WATCH_RETRY_MS * spread)
+        self._watching.discard(name)
+
+    async def _pause(self, wait_ms: float) -> None:
+        waiting: defer.Deferred[None] = defer.Deferred()
+        self.reactor.callLater(
+            wait_ms / clock.MS_PER_S, waiting.callback, None
+        )
+        await waiting
+
+    def _fetch_files(self) -> None:
+        for name in self.catalog.missing_files():
+            if name in self._fetching:
+                continue
+            if not self.calls.take(self.now_ms()):
+                return
+            self._fetching.add(name)
+            defer.ensureDeferred(self._fetch(name))
+
+    async def _fetch(self, name: str) -> None:
+        try:
+            stored = await self.store.get(name)
+            self._offer(name, stored.version, stored.value)
+        except errors.ObjectMissingError:
+            pass
+        except errors.StoreError:
+            self.store_failures += 1
+        finally:
+            self._fetching.discard(name)
+
+    # Addresses --------------------------------------------------------
+
+    def addresses(
+        self, near: ids.FailureDomain | None
+    ) -> addresses.AddressAnswer:
+        """Choose the addresses that a caller is told to use."""
+        held = self.catalog.config
+        settings = held.addresses if held else config.Addresses()
+        domain = near or self.table.me.failure_domain
+        return addresses.choose(
+            self.table.alive(),
+            domain,
+            settings.count,
+            settings.max_age_ms,
+            self.random,
+        )
+
+
+def _from_roster(vm: vms.Vm) -> messages.MemberUpdate:
+    return messages.MemberUpdate(
+        vm.vm,
+        vm.failure_domain,
+        vm.inner,
+        "",
+        "",
+        0,
+        messages.MemberState.LEAVING
+        if vm.leaving
+        else messages.MemberState.ALIVE,
+    )
--- /dev/null
+++ b/packages/daemon/src/godwitflow/daemon/dispatch.py
@@ -0,0 +1,354 @@
+"""The dispatcher task: replica sets' policy with real calls."""
+
+import typing
+
+from twisted.internet import defer
+
+from godwitflow.daemon import clock
+from godwitflow.daemon import logs
+from godwitflow.daemon import metrics as metrics_module
+from godwitflow.daemon import tracing
+from godwitflow.model import answers
+from godwitflow.model import ids
+from godwitflow.model import index as index_model
+from godwitflow.policy import catalog
+from godwitflow.policy import dispatcher
+from godwitflow.policy import jobs
+from godwitflow.policy import suspects
+from godwitflow.settings import config
+from godwitflow.upstream import client
+from godwitflow.wire import messages
+
+LOAD_PERIOD_MS = 50.0
+CLIENT_RECENT_MS = 1_000.0
+MIN_TIMER_S = 0.0005
+
+Send = typing.Callable[[ids.NodeId, messages.Message], None]
+SetKey = tuple[ids.ServiceName, ids.ReplicaSetId]
+
+_log = logs.logger("dispatcher")
+
+
+class Dispatch:
+    """Owns the connections to upstreams and the queue of each set."""
+
+    def __init__(
+        self,
+        reactor: typing.Any,
+        now_ms: clock.NowMs,
+        upstream: client.Client,
+        held: catalog.Catalog,
+        send: Send,
+        metrics: metrics_module.Metrics,
+        tracer: tracing.Tracing,
+    ) -> None:
+        self.reactor = reactor
+        self.now_ms = now_ms
+        self.upstream = upstream
+        self.catalog = held
+        self.send = send
+        self.metrics = metrics
+        self.tracer = tracer
+        self.suspects = suspects.Suspects()
+        self.sets: dict[SetKey, dispatcher.ReplicaSet] = {}
+        self.active = 0
+        self._timers: dict[SetKey, tuple[float, typing.Any]] = {}
+        self._handles: dict[tuple[SetKey, int], client.Handle] = {}
+        self._calls: dict[tuple[SetKey, int], tuple[jobs.Job, ...]] = {}
+        self._clients: dict[SetKey, dict[ids.NodeId, float]] = {}
+        self._sets_of: dict[tuple[str, ids.PieceId], SetKey] = {}
+        self._reported: set[SetKey] = set()
+        self._spans: dict[tuple[str, ids.PieceId], tracing.Span] = {}
+
+    # Messages ---------------------------------------------------------
+
+    def on_scatter(
+        self, sender: ids.NodeId, scatter: messages.Scatter
+    ) -> None:
+        """Queue the pieces of one query."""
+        now_ms = self.now_ms()
+        service = self._service(scatter.service)
+        index = self.catalog.index_of(service) if service else None
+        for ref in scatter.pieces:
+            job = _job(now_ms, sender, scatter, ref)
+            key = (scatter.service, ref.replica_set)
+            found = self._set(key, service, index)
+            if found is None:
+                self._reply_unavailable(job)
+                continue
+            self._clients.setdefault(key, {})[sender] = now_ms
+            self._sets_of[(sender, ref.piece)] = key
+            self._start_span(job)
+            self._perform(key, found, found.offer(now_ms, job))
+
+    def on_cancel(
+        self, sender: ids.NodeId, cancel: messages.CancelPieces
+    ) -> None:
+        """Stop pieces that a front no longer wants."""
+        now_ms = self.now_ms()
+        for piece in cancel.pieces:
+            key = self._sets_of.pop((sender, piece), None)
+            self._end_span((sender, piece), status="cancelled")
+            found = self.sets.get(key) if key else None
+            if key is not None and found is not None:
+                actions = found.cancel(now_ms, sender, piece)
+                self._perform(key, found, actions)
+
+    def on_suspicions(self, news: messages.Suspicions) -> None:
+        """Learn of requests that crash upstreams elsewhere."""
+        for entry in news.entries:
+            self.suspects.learn(
+                entry.fingerprint, entry.crashes, self.now_ms()
+            )
+
+    # Sets -------------------------------------------------------------
+
+    def _service(self, name: ids.ServiceName) -> config.Service | None:
+        held = self.catalog.config
+        return held.services.get(name) if held else None
+
+    def _set(
+        self,
+        key: SetKey,
+        service: config.Service | None,
+        index: index_model.Index | None,
+    ) -> dispatcher.ReplicaSet | None:
+        found = self.sets.get(key)
+        if found is not None:
+            return found
+        if service is None or index is None:
+            return None
+        members = index.replica_sets.get(key[1])
+        if members is None:
+            return None
+        seed = hash(key[1]) & 0xFFFF
+        found = dispatcher.ReplicaSet(
+            key[1], service, members, self.suspects, seed
+        )
+        found.replicas.set_leaving(frozenset(index.leaving))
+        self.sets[key] = found
+        return found
+
+    def on_catalog(self) -> None:
+        """Follow a newer configuration or index."""
+        for key, found in list(self.sets.items()):
+            service = self._service(key[0])
+            index = self.catalog.index_of(service) if service else None
+            if service is None or index is None:
+                continue
+            if found.service != service:
+                found.apply(service)
+            members = index.replica_sets.get(key[1], ())
+            found.replicas.set_members(members)
+            found.replicas.set_leaving(frozenset(index.leaving))
+
+    # Actions ----------------------------------------------------------
+
+    def _perform(
+        self,
+        key: SetKey,
+        found: dispatcher.ReplicaSet,
+        actions: list[jobs.Action],
+    ) -> None:
+        for action in actions:
+            match action:
+                case jobs.StartCall():
+                    self._start_call(key, found, action)
+                case jobs.CancelCall(call=call, upstream=upstream):
+                    batch = self._calls.get((key, call), ())
+                    self.upstream.cancel(upstream, batch)
+                case jobs.AbortCall(call=call):
+                    handle = self._handles.get((key, call))
+                    if handle is not None:
+                        handle.abort()
+                case jobs.Reply():
+                    self._reply(key, action)
+        self._arm(key, found)
+
+    def _start_call(
+        self,
+        key: SetKey,
+        found: dispatcher.ReplicaSet,
+        action: jobs.StartCall,
+    ) -> None:
+        handle = client.Handle()
+        self._handles[(key, action.call)] = handle
+        self._calls[(key, action.call)] = action.jobs
+        self.active += 1
+        self.metrics.count("upstream_calls", service=key[0])
+        defer.ensureDeferred(self._call(key, found, action, handle))
+
+    async def _call(
+        self,
+        key: SetKey,
+        found: dispatcher.ReplicaSet,
+        action: jobs.StartCall,
+        handle: client.Handle,
+    ) -> None:
+        spans = self._call_spans(action)
+        result = await self.upstream.call(
+            action.upstream,
+            action.jobs,
+            found.service.call_timeout_ms,
+            handle,
+        )
+        for span in spans:
+            kind = type(result).__name__
+            span.end(upstream=action.upstream, result=kind)
+        self.active -= 1
+        self._handles.pop((key, action.call), None)
+        self._calls.pop((key, action.call), None)
+        actions = found.on_result(self.now_ms(), action.call, result)
+        if isinstance(result, jobs.CallCrashed):
+            self._tell_suspects(action)
+        self._perform(key, found, actions)
+
+    def _tell_suspects(self, action: jobs.StartCall) -> None:
+        _log.warn(
+            "an upstream crashed under a request",
+            upstream=action.upstream,
+            pieces=[job.piece_key for job in action.jobs],
+        )
+        entries = tuple(
+            messages.Suspicion(
+                job.fingerprint,
+                self.suspects.crashes(job.fingerprint),
+                0.0,
+            )
+            for job in action.jobs
+        )
+        self.on_crash(messages.Suspicions(entries))
+
+    on_crash: typing.Callable[[messages.Suspicions], None]
+    """Called with the suspects of a crash, to spread them."""
+
+    def _reply(self, key: SetKey, action: jobs.Reply) -> None:
+        job = action.job
+        self._sets_of.pop((job.client, job.piece), None)
+        status = action.status.name.lower()
+        self._end_span((job.client, job.piece), status=status)
+        self.metrics.count("pieces", service=key[0], status=status)
+        piece = messages.Piece(
+            job.piece,
+            job.shard,
+            job.snapshot,
+            action.status,
+            action.ran,
+            action.rows,
+            action.queue_ms,
+            action.upstream_ms,
+            job.call_count,
+            action.retry_after_ms,
+        )
+        self.send(ids.NodeId(job.client), piece)
+
+    def _reply_unavailable(self, job: jobs.Job) -> None:
+        piece = messages.Piece(
+            job.piece,
+            job.shard,
+            job.snapshot,
+            messages.PieceStatus.UNAVAILABLE,
+            answers.Ran.NOT_RUN,
+        )
+        self.send(ids.NodeId(job.client), piece)
+
+    # Timers -----------------------------------------------------------
+
+    def _arm(self, key: SetKey, found: dispatcher.ReplicaSet) -> None:
+        now_ms = self.now_ms()
+        wakeup_ms = found.next_wakeup_ms(now_ms)
+        armed = self._timers.get(key)
+        if wakeup_ms is None:
+            return
+        if armed is not None:
+            if armed[0] <= wakeup_ms:
+                return
+            armed[1].cancel()
+        delay_s = max(MIN_TIMER_S, (wakeup_ms - now_ms) / clock.MS_PER_S)
+        timer = self.reactor.callLater(delay_s, self._wake, key, found)
+        self._timers[key] = (wakeup_ms, timer)
+
+    def _wake(self, key: SetKey, found: dispatcher.ReplicaSet) -> None:
+        self._timers.pop(key, None)
+        self._perform(key, found, found.step(self.now_ms()))
+
+    def report_loads(self) -> None:
+        """Tell each recent front how long new work would queue."""
+        now_ms = self.now_ms()
+        rows: dict[ids.NodeId, list[messages.SetLoad]] = {}
+        for key, clients in self._clients.items():
+            found = self.sets[key]
+            load = found.load(key[0])
+            waiting = any(load.wait_ms)
+            if not waiting and key not in self._reported:
+                continue
+            if waiting:
+                self._reported.add(key)
+            else:
+                self._reported.discard(key)
+            for node, seen_at_ms in list(clients.items()):
+                if now_ms - seen_at_ms > CLIENT_RECENT_MS:
+                    del clients[node]
+                    continue
+                rows.setdefault(node, []).append(load)
+        for node, loads in rows.items():
+            self.send(node, messages.Loads(tuple(loads)))
+
+    @property
+    def idle(self) -> bool:
+        """Whether no piece is queued and no call is running."""
+        queued = sum(len(item.queue) for item in self.sets.values())
+        return self.active == 0 and queued == 0
+
+    def stop(self) -> None:
+        """Cancel every timer."""
+        for _, timer in self._timers.values():
+            timer.cancel()
+        self._timers.clear()
+
+    # Spans ------------------------------------------------------------
+
+    def _start_span(self, job: jobs.Job) -> None:
+        if job.traceparent:
+            span = self.tracer.start("dispatcher.piece", job.traceparent)
+            self._spans[(job.client, job.piece)] = span
+
+    def _end_span(
+        self, key: tuple[str, ids.PieceId], **attributes: str
+    ) -> None:
+        span = self._spans.pop(key, None)
+        if span is not None:
+            span.end(**attributes)
+
+    def _call_spans(self, action: jobs.StartCall) -> list[tracing.Span]:
+        spans = []
+        for job in action.jobs:
+            parent = self._spans.get((job.client, job.piece))
+            if parent is not None:
+                name = "upstream.call"
+                spans.append(self.tracer.start(name, parent.traceparent))
+        return spans
+
+
+def _job(
+    now_ms: float,
+    sender: ids.NodeId,
+    scatter: messages.Scatter,
+    ref: messages.Ref,
+) -> jobs.Job:
+    return jobs.Job(
+        sender,
+        ref.piece,
+        scatter.query_id,
+        scatter.service,
+        ref.shard,
+        scatter.snapshot,
+        scatter.rank,
+        now_ms + scatter.budget_ms,
+        scatter.order,
+        scatter.idempotent,
+        scatter.canary,
+        scatter.fingerprint,
+        scatter.payload,
+        scatter.traceparent,
+    )
--- /dev/null
+++ b/packages/daemon/src/godwitflow/daemon/front.py
@@ -0,0 +1,454 @@
+"""The front task: callers' requests from admission to answer."""
+
+import dataclasses
+import itertools
+import random
+import typing
+
+from twisted.internet import defer
+
+from godwitflow.daemon import clock
+from godwitflow.daemon import metrics as metrics_module
+from godwitflow.daemon import tracing
+from godwitflow.model import answers
+from godwitflow.model import ids
+from godwitflow.model import index as index_model
+from godwitflow.model import queries
+from godwitflow.policy import admission
+from godwitflow.policy import catalog
+from godwitflow.policy import gather
+from godwitflow.policy import known_good
+from godwitflow.policy import ownership
+from godwitflow.policy import peers
+from godwitflow.policy import query_run
+from godwitflow.settings import config
+from godwitflow.wire import messages
+
+ANSWER_MARGIN_MS = 2.0
+
+Result = answers.Answer | answers.Refusal
+Send = typing.Callable[[ids.NodeId, messages.Message], None]
+Route = typing.Callable[[str], list[ids.NodeId]]
+
+
+@dataclasses.dataclass
+class _Running:
+    run: query_run.QueryRun
+    result: "defer.Deferred[Result]"
+    timer: typing.Any = None
+
+
+@dataclasses.dataclass
+class _Pinned:
+    """What a query was resolved to when it was admitted."""
+
+    query: queries.Query
+    query_id: str
+    priority: str
+    rank: ids.Rank
+    deadline_ms: float
+    service: config.Service
+    index: index_model.Index
+    started_at_ms: float
+    span: tracing.Span | None
+
+
+class Front:
+    """Admits queries, scatters them, gathers and answers."""
+
+    def __init__(
+        self,
+        reactor: typing.Any,
+        now_ms: clock.NowMs,
+        node: ids.NodeId,
+        held: catalog.Catalog,
+        send: Send,
+        route: Route,
+        journal: "ClaimClient",
+        metrics: metrics_module.Metrics,
+        tracer: tracing.Tracing,
+    ) -> None:
+        self.reactor = reactor
+        self.now_ms = now_ms
+        self.node = node
+        self.catalog = held
+        self.send = send
+        self.route = route
+        self.journal = journal
+        self.metrics = metrics
+        self.tracer = tracer
+        self.peers = peers.Peers()
+        self.known_good = known_good.KnownGood()
+        self.condemned: typing.Callable[[ids.Fingerprint], bool]
+        self.runs: dict[str, _Running] = {}
+        self.serving = False
+        self._admissions: dict[str, admission.Admission] = {}
+        self._by_piece: dict[ids.PieceId, _Running] = {}
+        self._piece_ids = query_run.piece_id_source()
+        self._query_serial = itertools.count(1)
+        self._boot = random.SystemRandom().getrandbits(32)
+
+    # Callers ----------------------------------------------------------
+
+    async def query(
+        self, query: queries.Query, traceparent: str = ""
+    ) -> Result:
+        """Answer or refuse one request; never raises for the caller."""
+        serial = next(self._query_serial)
+        query_id = f"{self._boot:08x}{serial:08x}"
+        span = self.tracer.start_query("front.query", traceparent)
+        result = await self._admit(query, query_id, span)
+        self._note(query, result)
+        if span is not None:
+            span.end(query_id=query_id, result=_result_name(result))
+        return result
+
+    async def _admit(
+        self,
+        query: queries.Query,
+        query_id: str,
+        span: tracing.Span | None,
+    ) -> Result:
+        pinned = self._pin(query, query_id, span)
+        if isinstance(pinned, answers.Refusal):
+            return pinned
+        order = ownership.hash64(query_id) & 0xFFFFFFFF
+        gate = self._admission(query.service)
+        decision = gate.decide(
+            self.now_ms(), pinned.rank, pinned.deadline_ms, order
+        )
+        if isinstance(decision, admission.Refuse):
+            return _refuse(
+                answers.RefusalCode.OVERLOADED,
+                f"expected wait {decision.wait_ms:.0f} ms",
+                query_id,
+                span,
+                decision.retry_after_ms,
+            )
+        if query.idempotent:
+            return await self._run(pinned, order, 0.0)
+        return await self._run_once(pinned, order)
+
+    def _pin(
+        self,
+        query: queries.Query,
+        query_id: str,
+        span: tracing.Span | None,
+    ) -> _Pinned | answers.Refusal:
+        """Resolve service, priority, deadline and snapshot."""
+        codes = answers.RefusalCode
+        if not self.serving or self.catalog.config is None:
+            text = "this node is not serving"
+            return _refuse(codes.NOT_READY, text, query_id, span, 500.0)
+        service = self.catalog.config.services.get(query.service)
+        if service is None:
+            text = f"unknown service {query.service!r}"
+            return _refuse(codes.UNKNOWN_SERVICE, text, query_id, span)
+        index = self.catalog.index_of(service)
+        if index is None:
+            text = "the service's index is not known yet"
+            return _refuse(codes.NOT_READY, text, query_id, span, 500.0)
+        found = service.priority(query.priority)
+        if found is None:
+            allowed = ", ".join(service.names)
+            text = f"unknown priority {query.priority!r}, allowed: {allowed}"
+            return _refuse(codes.UNKNOWN_PRIORITY, text, query_id, span)
+        if len(query.payload) > service.max_body_bytes:
+            text = f"payload over {service.max_body_bytes} bytes"
+            return _refuse(codes.TOO_LARGE, text, query_id, span)
+        if self.condemned(queries.fingerprint(query)):
+            text = "this request has crashed upstreams"
+            return _refuse(codes.SUSPECT, text, query_id, span)
+        rank, priority = found
+        deadline_ms = query.deadline_ms or priority.deadline_ms
+        deadline_ms = min(deadline_ms, priority.deadline_ms)
+        return _Pinned(
+            query,
+            query_id,
+            service.names[rank],
+            rank,
+            deadline_ms,
+            service,
+            index,
+            self.now_ms(),
+            span,
+        )
+
+    async def _run_once(self, pinned: _Pinned, order: int) -> Result:
+        """Claim the request key, run, and record the outcome."""
+        query = pinned.query
+        key = f"{query.service}/{query.request_key}"
+        budget_ms = pinned.deadline_ms - ANSWER_MARGIN_MS
+        began_ms = self.now_ms()
+        claim = await self.journal.claim(key, budget_ms)
+        claim_ms = self.now_ms() - began_ms
+        refusal = _claim_refusal(claim.reply, pinned)
+        if refusal is not None:
+            return refusal
+        result = await self._run(pinned, order, claim_ms)
+        ran = result.ran
+        note = ""
+        if isinstance(result, answers.Answer):
+            note = f"ran on shard {result.shard}"
+        self.journal.outcome(claim, ran, note)
+        return result
+
+    async def _run(
+        self, pinned: _Pinned, order: int, claim_ms: float
+    ) -> Result:
+        request = self._request(pinned, order, claim_ms)
+        service = pinned.query.service
+
+        def route(set_id: ids.ReplicaSetId) -> list[ids.NodeId]:
+            return self.route(f"{service}/{set_id}")
+
+        run = query_run.QueryRun(request, pinned.index, route, self._piece_ids)
+        running = _Running(run, defer.Deferred())
+        self.runs[request.query_id] = running
+        now_ms = self.now_ms()
+        left_ms = request.deadline_at_ms - ANSWER_MARGIN_MS - now_ms
+        running.timer = self.reactor.callLater(
+            max(0.0, left_ms / clock.MS_PER_S), self._on_deadline, running
+        )
+        self._perform(running, run.start(now_ms))
+        return await running.result
+
+    def _request(
+        self, pinned: _Pinned, order: int, claim_ms: float
+    ) -> query_run.Request:
+        query = pinned.query
+        fingerprint = queries.fingerprint(query)
+        canary = (
+            pinned.service.canary
+            and query.shard_key is None
+            and not self.known_good.contains(fingerprint)
+        )
+        traceparent = pinned.span.traceparent if pinned.span else ""
+        return query_run.Request(
+            pinned.query_id,
+            tracing.trace_id_of(traceparent),
+            query.service,
+            pinned.rank,
+            order,
+            pinned.started_at_ms,
+            pinned.started_at_ms + pinned.deadline_ms,
+            query.least_coverage,
+            query.idempotent,
+            fingerprint,
+            bytes(query.payload),
+            query.shard_key,
+            canary,
+            claim_ms,
+            traceparent,
+        )
+
+    # Messages ---------------------------------------------------------
+
+    def on_piece(self, piece: messages.Piece) -> None:
+        """Take a dispatcher's reply for one piece."""
+        running = self._by_piece.get(piece.piece)
+        if running is None:
+            self.metrics.count("late_pieces")
+            return
+        verdict, actions = running.run.on_piece(self.now_ms(), piece)
+        if verdict in (gather.Verdict.TAKEN, gather.Verdict.MISSED):
+            del self._by_piece[piece.piece]
+        elif verdict is not gather.Verdict.REROUTED:
+            self.metrics.count("dropped_pieces", verdict=verdict.value)
+        self._perform(running, actions)
+
+    def on_loads(self, loads: messages.Loads) -> None:
+        """Learn how long new work would queue."""
+        for load in loads.sets:
+            self._admission(load.service).learn(load, self.now_ms())
+
+    def on_heard(self, node: ids.NodeId) -> None:
+        """Note a sign of life of a peer."""
+        self.peers.on_heard(node, self.now_ms())
+
+    def on_index(self, name: str) -> None:
+        """Tell waiting runs of a newer index."""
+        held = self.catalog.config
+        index = self.catalog.indexes.get(name)
+        if held is None or index is None:
+            return
+        for running in list(self.runs.values()):
+            service = held.services.get(running.run.request.service)
+            if service is not None and service.index == name:
+                actions = running.run.on_index(self.now_ms(), index)
+                self._perform(running, actions)
+
+    def on_node_lost(self, node: ids.NodeId) -> None:
+        """Move what a lost node has to the next owners."""
+        now_ms = self.now_ms()
+        for running in list(self.runs.values()):
+            if node in running.run.nodes:
+                self.metrics.count("rerouted_queries")
+                actions = running.run.on_node_lost(now_ms, node)
+                self._perform(running, actions)
+
+    def check_peers(self) -> None:
+        """Ping peers that owe pieces and are quiet; drop silent ones."""
+        owing: set[ids.NodeId] = set()
+        for running in self.runs.values():
+            owing |= running.run.nodes
+        owing.discard(self.node)
+        for verdict in self.peers.check(owing, self.now_ms()):
+            match verdict:
+                case peers.PingPeer(node=node, sequence=sequence):
+                    self.send(node, messages.Ping(sequence))
+                case peers.PeerSilent(node=node):
+                    self.on_node_lost(node)
+
+    # Actions ----------------------------------------------------------
+
+    def _perform(
+        self, running: _Running, actions: list[query_run.Action]
+    ) -> None:
+        for action in actions:
+            match action:
+                case query_run.SendPieces(node=node, scatter=scatter):
+                    for ref in scatter.pieces:
+                        self._by_piece[ref.piece] = running
+                    self.peers.on_asked(node, self.now_ms())
+                    self.send(node, scatter)
+                case query_run.CancelPieces(node=node, pieces=pieces):
+                    for piece in pieces:
+                        self._by_piece.pop(piece, None)
+                    self.send(node, messages.CancelPieces(pieces))
+                case query_run.Finish(result=result):
+                    self._finish(running, result)
+
+    def _finish(self, running: _Running, result: Result) -> None:
+        run = running.run
+        self.runs.pop(run.request.query_id, None)
+        for piece in run.pieces:
+            self._by_piece.pop(piece, None)
+        if running.timer is not None and running.timer.active():
+            running.timer.cancel()
+        if isinstance(result, answers.Answer):
+            self.known_good.add(run.request.fingerprint)
+        extra = max(0, run.calls - len(list(run.pieces)))
+        self.metrics.count("extra_calls", extra)
+        running.result.callback(result)
+
+    def _on_deadline(self, running: _Running) -> None:
+        self._perform(running, running.run.on_deadline(self.now_ms()))
+
+    def _admission(self, service: str) -> admission.Admission:
+        found = self._admissions.get(service)
+        if found is None:
+            found = admission.Admission()
+            self._admissions[service] = found
+        return found
+
+    # Figures ----------------------------------------------------------
+
+    def _note(self, query: queries.Query, result: Result) -> None:
+        priority = query.priority or "default"
+        match result:
+            case answers.Answer(coverage=coverage, timing=timing):
+                kind = "complete" if coverage.complete else "partial"
+                self.metrics.count(
+                    "answers",
+                    kind=kind,
+                    service=query.service,
+                    priority=priority,
+                )
+                hops = (
+                    ("total", timing.total_ms),
+                    ("queue", timing.queue_ms),
+                    ("upstream", timing.upstream_ms),
+                    ("claim", timing.claim_ms),
+                )
+                for hop, spent_ms in hops:
+                    self.metrics.record(query.service, priority, hop, spent_ms)
+            case answers.Refusal(code=code):
+                known = code is not answers.RefusalCode.UNKNOWN_SERVICE
+                reason = code.value
+                if known and code is not answers.RefusalCode.UNKNOWN_PRIORITY:
+                    self.metrics.count(
+                        "refusals",
+                        reason=reason,
+                        service=query.service,
+                        priority=priority,
+                    )
+                else:
+                    self.metrics.count("refusals", reason=reason)
+
+    @property
+    def idle(self) -> bool:
+        """Whether no query is under way."""
+        return not self.runs
+
+
+class Claimed(typing.Protocol):
+    """A claim with the journal's reply."""
+
+    reply: messages.ClaimReply
+
+
+class ClaimClient(typing.Protocol):
+    """What the front needs of the journal."""
+
+    async def claim(self, key: str, budget_ms: float) -> typing.Any:
+        """Claim a key; the result has a ``reply``."""
+        ...
+
+    def outcome(self, claim: typing.Any, ran: answers.Ran, note: str) -> None:
+        """Record what became of a claimed request."""
+        ...
+
+
+def _result_name(result: Result) -> str:
+    if isinstance(result, answers.Answer):
+        return "answer"
+    return result.code.value
+
+
+def _refuse(
+    code: answers.RefusalCode,
+    message: str,
+    query_id: str,
+    span: tracing.Span | None,
+    retry_after_ms: float | None = None,
+) -> answers.Refusal:
+    """Build a refusal of a request that did not run."""
+    trace_id = tracing.trace_id_of(span.traceparent) if span else ""
+    retry_ms = None if retry_after_ms is None else int(retry_after_ms)
+    return answers.Refusal(
+        code, answers.Ran.NOT_RUN, message, query_id, trace_id, retry_ms
+    )
+
+
+def _claim_refusal(
+    reply: messages.ClaimReply, pinned: _Pinned
+) -> answers.Refusal | None:
+    codes = answers.RefusalCode
+    verdicts = messages.ClaimVerdict
+    match reply.verdict:
+        case verdicts.CLAIMED:
+            return None
+        case verdicts.RAN_BEFORE:
+            ran = answers.Ran.RAN
+            text = f"this request key ran before: {reply.note}"
+            return _duplicate(pinned, ran, text)
+        case verdicts.UNKNOWN_BEFORE:
+            text = "this request key was claimed before; it may have run"
+            return _duplicate(pinned, answers.Ran.UNKNOWN, text)
+        case verdicts.FULL:
+            code = codes.JOURNAL_FULL
+            text = "the journal is full"
+        case _:
+            code = codes.JOURNAL_UNAVAILABLE
+            text = "the claim could not be committed"
+    return _refuse(code, text, pinned.query_id, pinned.span, 1_000.0)
+
+
+def _duplicate(
+    pinned: _Pinned, ran: answers.Ran, text: str
+) -> answers.Refusal:
+    span = pinned.span
+    trace_id = tracing.trace_id_of(span.traceparent) if span else ""
+    code = answers.RefusalCode.DUPLICATE_KEY
+    return answers.Refusal(code, ran, text, pinned.query_id, trace_id)
--- /dev/null
+++ b/packages/daemon/src/godwitflow/daemon/logs.py
@@ -0,0 +1,37 @@
+"""Logs as JSON lines on standard error."""
+
+import typing
+
+import logbook
+import msgspec
+
+LEVELS = ("debug", "info", "warning", "error")
+
+
+class JsonHandler(logbook.StreamHandler):
+    """Writes one JSON object a line: time, level, event, fields."""
+
+    def format(self, record: typing.Any) -> str:
+        """Return a record as one line of JSON."""
+        row = {
+            "time": record.time.isoformat(),
+            "level": record.level_name.lower(),
+            "logger": record.channel,
+            "event": record.message,
+            **record.kwargs,
+            **{str(key): value for key, value in record.extra.items()},
+        }
+        if record.exc_info:
+            row["error"] = record.formatted_exception
+        return msgspec.json.encode(row, enc_hook=str).decode()
+
+
+def handler(stream: typing.TextIO, level: str) -> JsonHandler:
+    """Return a handler for a stream, at a level of ``LEVELS``."""
+    number = logbook.lookup_level(level.upper())
+    return JsonHandler(stream, level=number, bubble=False)
+
+
+def logger(name: str) -> logbook.Logger:
+    """Return the logger of one part of the daemon."""
+    return logbook.Logger(name)
--- /dev/null
+++ b/packages/daemon/src/godwitflow/daemon/main.py
@@ -0,0 +1,103 @@
+"""The daemon's command line."""
+
+import pathlib
+import sys
+import typing
+
+import cyclopts
+from twisted.internet import reactor as installed_reactor
+import zmq
+
+from godwitflow.daemon import logs
+from godwitflow.daemon import node as node_module
+from godwitflow.model import errors
+from godwitflow.settings import process
+
+reactor: typing.Any = installed_reactor
+
+app = cyclopts.App(
+    name="godwitflowd",
+    help="Serve callers' queries over the shards of the upstreams.",
+)
+
+
+@app.default
+def run(
+    settings: pathlib.Path,
+    *,
+    vm_id: str | None = None,
+    failure_domain: str | None = None,
+    address: str | None = None,
+    platform: str | None = None,
+    caller_port: int | None = None,
+    operator_port: int | None = None,
+    inner_port: int | None = None,
+    log_level: typing.Literal["debug", "info", "warning", "error"] = "info",
+) -> int:
+    """Run one node until it is told to stop.
+
+    Parameters
+    ----------
+    settings
+        YAML file with this process's settings; flags go over it.
+    vm_id
+        The platform's id of this VM.
+    failure_domain
+        The failure domain that this VM is in.
+    address
+        The IP number that callers and peers reach.
+    platform
+        The base URL of the platform's object API.
+    caller_port
+        The port for callers.
+    operator_port
+        The port for operators.
+    inner_port
+        The port for other nodes.
+    log_level
+        The least severe level that is logged.
+    """
+    given = {
+        "vm_id": vm_id,
+        "failure_domain": failure_domain,
+        "address": address,
+        "platform": platform,
+        "caller_port": caller_port,
+        "operator_port": operator_port,
+        "inner_port": inner_port,
+    }
+    overrides = {key: val for key, val in given.items() if val is not None}
+    try:
+        loaded = process.load(settings, overrides)
+    except errors.SettingsError as error:
+        print(error, file=sys.stderr)
+        return 1
+    with logs.handler(sys.stderr, log_level).applicationbound():
+        _serve(loaded)
+    return 0
+
+
+def _serve(settings: process.Process) -> None:
+    context = zmq.Context()
+    node = node_module.Node(reactor, settings, context)
+    node.start()
+    stopping: list[bool] = []
+
+    def leave() -> "typing.Any":
+        # A second signal must not cut what the first lets finish.
+        if not stopping:
+            stopping.append(True)
+        return node.stop()
+
+    reactor.addSystemEventTrigger("before", "shutdown", leave)
+    reactor.run()
+    context.destroy(linger=0)
+
+
+def main() -> None:
+    """Run the command line."""
+    sys.exit(app())
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/daemon/src/godwitflow/daemon/metrics.py
@@ -0,0 +1,83 @@
+"""Counters and latency quantiles, as text for a scraper."""
+
+import collections
+import typing
+
+from hdrh import histogram
+
+QUANTILES = (50.0, 90.0, 99.0, 99.9)
+LOWEST_US = 1
+HIGHEST_US = 600_000_000
+DIGITS = 2
+US_PER_MS = 1_000.0
+
+Labels = tuple[tuple[str, str], ...]
+
+
+class Metrics:
+    """Everything that one process counts."""
+
+    def __init__(self) -> None:
+        self._counters: dict[tuple[str, Labels], float] = (
+            collections.defaultdict(float)
+        )
+        self._latencies: dict[tuple[str, str, str], typing.Any] = {}
+
+    def count(self, name: str, amount: float = 1, **labels: str) -> None:
+        """Add to a counter."""
+        self._counters[(name, tuple(sorted(labels.items())))] += amount
+
+    def value(self, name: str, **labels: str) -> float:
+        """Return a counter's value."""
+        return self._counters[(name, tuple(sorted(labels.items())))]
+
+    def record(
+        self, service: str, priority: str, hop: str, elapsed_ms: float
+    ) -> None:
+        """Record how long one hop of a query took."""
+        key = (service, priority, hop)
+        found = self._latencies.get(key)
+        if found is None:
+            found = histogram.HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS)
+            self._latencies[key] = found
+        value_us = int(elapsed_ms * US_PER_MS)
+        found.record_value(min(max(value_us, LOWEST_US), HIGHEST_US))
+
+    def lines(self) -> list[str]:
+        """Return every figure in the text form that scrapers read."""
+        rows = []
+        for (name, labels), amount in sorted(self._counters.items()):
+            rows.append(f"godwitflow_{name}_total{_text(labels)} {amount:g}")
+        for key, found in sorted(self._latencies.items()):
+            rows += self._latency_lines(key, found)
+        return rows
+
+    def _latency_lines(
+        self, key: tuple[str, str, str], found: typing.Any
+    ) -> list[str]:
+        service, priority, hop = key
+        labels = (("service", service), ("priority", priority), ("hop", hop))
+        rows = []
+        for quantile in QUANTILES:
+            value_ms = found.get_value_at_percentile(quantile) / US_PER_MS
+            full = (*labels, ("quantile", f"{quantile / 100.0:g}"))
+            rows.append(f"godwitflow_latency_ms{_text(full)} {value_ms:g}")
+        count = found.total_count
+        rows.append(f"godwitflow_latency_ms_count{_text(labels)} {count}")
+        return rows
+
+
+def gauge(name: str, value: float, **labels: str) -> str:
+    """Return one line for a value that goes up and down."""
+    return f"godwitflow_{name}{_text(tuple(labels.items()))} {value:g}"
+
+
+def _text(labels: Labels) -> str:
+    if not labels:
+        return ""
+    pairs = ",".join(f'{key}="{_escape(value)}"' for key, value in labels)
+    return "{" + pairs + "}"
+
+
+def _escape(value: str) -> str:
+    return value.replace("\\", "\\\\").replace('"', '\\"')
--- /dev/null
+++ b/packages/daemon/src/godwitflow/daemon/node.py
@@ -0,0 +1,420 @@
+"""One node: its tasks, its sockets and its life."""
+
+import typing
+
+from twisted.internet import defer
+from twisted.internet import task
+import zmq
+
+from godwitflow.daemon import callers
+from godwitflow.daemon import clock
+from godwitflow.daemon import control as control_module
+from godwitflow.daemon import dispatch as dispatch_module
+from godwitflow.daemon import front as front_module
+from godwitflow.daemon import journals
+from godwitflow.daemon import lifecycle
+from godwitflow.daemon import limits
+from godwitflow.daemon import logs
+from godwitflow.daemon import metrics as metrics_module
+from godwitflow.daemon import operators
+from godwitflow.daemon import tracing
+from godwitflow.model import ids
+from godwitflow.platform import http as store_http
+from godwitflow.policy import catalog
+from godwitflow.policy import membership
+from godwitflow.policy import ownership
+from godwitflow.settings import config
+from godwitflow.settings import process
+from godwitflow.upstream import http as upstream_http
+from godwitflow.wire import codec
+from godwitflow.wire import links
+from godwitflow.wire import messages
+from godwitflow.wire import sockets
+
+TICK_S = 0.05
+JOURNAL_TICK_S = 0.005
+HOUSEKEEPING_S = 5.0
+FINISH_POLL_S = 0.05
+FINISH_LIMIT_S = 30.0
+
+_log = logs.logger("node")
+
+
+class Node:
+    """Everything one godwitflowd does, on one reactor.
+
+    Several nodes may share a process and a ZeroMQ context, as the demo's
+    do. ``start`` opens the listeners; ``stop`` leaves gracefully.
+    """
+
+    def __init__(
+        self,
+        reactor: typing.Any,
+        settings: process.Process,
+        context: zmq.Context,
+        now_ms: clock.NowMs = clock.monotonic_ms,
+    ) -> None:
+        self.reactor = reactor
+        self.settings = settings
+        self.context = context
+        self.now_ms = now_ms
+        self.id = settings.node
+        self.incarnation = int(clock.unix_ms())
+        self.life = lifecycle.new()
+        self.metrics = metrics_module.Metrics()
+        self.tracer = tracing.Tracing(
+            settings.vm_id,
+            settings.trace_share,
+            tracing.exporters(settings.trace_file, settings.trace_otlp),
+        )
+        self.store = store_http.HttpStore(reactor, settings.platform)
+        self.upstream = upstream_http.HttpClient(reactor, now_ms)
+        self.catalog = catalog.Catalog()
+        self._open_inner()
+        self._build_tasks()
+        self._ports: list[typing.Any] = []
+        self._sites: list[limits.LimitedSite] = []
+        self._loops: list[task.LoopingCall] = []
+        self._stopping: defer.Deferred[None] | None = None
+        self._pauses_seen = 0
+
+    # Building ---------------------------------------------------------
+
+    def _open_inner(self) -> None:
+        settings = self.settings
+        keys = sockets.Keys.of(settings.curve_secret_key, settings.curve_peers)
+        self.links = links.Links(
+            self.reactor,
+            self.context,
+            self.id,
+            self.incarnation,
+            f"tcp://{settings.address}:{settings.inner_port}",
+            self._receive,
+            keys,
+        )
+
+    def _build_tasks(self) -> None:
+        settings = self.settings
+        me = messages.MemberUpdate(
+            self.id,
+            ids.FailureDomain(settings.failure_domain),
+            self.links.inlet.address,
+            "",
+            "",
+            self.incarnation,
+            messages.MemberState.ALIVE,
+        )
+        seed = ownership.hash64(f"{self.id}/{self.incarnation}")
+        self.table = membership.Membership(me, seed)
+        self.control = control_module.Control(
+            self.reactor,
+            self.now_ms,
+            self.store,
+            self.table,
+            self.catalog,
+            self.links.send,
+            self.metrics,
+            settings.seeds,
+            seed,
+        )
+        self.control.on_catalog = self._on_catalog
+        self.control.on_member_lost = self._on_member_lost
+        self.dispatch = dispatch_module.Dispatch(
+            self.reactor,
+            self.now_ms,
+            self.upstream,
+            self.catalog,
+            self.send,
+            self.metrics,
+            self.tracer,
+        )
+        self.dispatch.on_crash = self._spread_suspects
+        self.journals = journals.Journals(
+            self.reactor,
+            self.now_ms,
+            self.id,
+            self.incarnation,
+            self.store,
+            self._journal_settings,
+            self.send,
+            self.control.route,
+            self.metrics,
+        )
+        self.front = front_module.Front(
+            self.reactor,
+            self.now_ms,
+            self.id,
+            self.catalog,
+            self.send,
+            self.control.route,
+            self.journals,
+            self.metrics,
+            self.tracer,
+        )
+        self.front.condemned = self.dispatch.suspects.condemned
+        self.callers = callers.Callers(self.front, self.control)
+        self.operators = operators.Operators(
+            self.control,
+            self.dispatch,
+            self.metrics,
+            self.links,
+            self.life.name,
+        )
+
+    def _journal_settings(self) -> config.Journal:
+        held = self.catalog.config
+        return held.journal if held else config.Journal()
+
+    # Starting ---------------------------------------------------------
+
+    def start(self) -> None:
+        """Open the listeners and start the loops."""
+        settings = self.settings
+        caller = self._listen(
+            self.callers.resource(), settings.caller_port, settings.address
+        )
+        operator = self._listen(
+            self.operators.resource(),
+            settings.operator_port,
+            settings.operator_address,
+        )
+        self.caller_url = f"http://{settings.address}:{caller}"
+        self.operator_url = f"http://{settings.operator_address}:{operator}"
+        self.table.update_self(
+            caller=self.caller_url, operator=self.operator_url
+        )
+        self._loop(TICK_S, self._tick)
+        self._loop(JOURNAL_TICK_S, self.journals.step)
+        self._loop(HOUSEKEEPING_S, self._keep_house)
+        _log.info(
+            "started",
+            node=self.id,
+            caller=self.caller_url,
+            operator=self.operator_url,
+            inner=self.links.inlet.address,
+        )
+
+    def _listen(self, root: typing.Any, port: int, address: str) -> int:
+        site = limits.LimitedSite(root, self.reactor)
+        listening = self.reactor.listenTCP(port, site, interface=address)
+        self._ports.append(listening)
+        self._sites.append(site)
+        return listening.getHost().port
+
+    def _loop(self, period_s: float, work: typing.Callable) -> None:
+        loop = task.LoopingCall(work)
+        loop.clock = self.reactor
+        running = loop.start(period_s, now=False)
+        running.addErrback(self._on_loop_error, period_s, work)
+        self._loops.append(loop)
+
+    def _on_loop_error(
+        self, failure: typing.Any, period_s: float, work: typing.Callable
+    ) -> None:
+        """Log a defect and keep the loop going."""
+        _log.error("a loop failed", detail=failure.getTraceback())
+        self.metrics.count("loop_failures")
+        self._loop(period_s, work)
+
+    # Loops ------------------------------------------------------------
+
+    def _tick(self) -> None:
+        self.control.tick()
+        self._follow_pauses()
+        self._follow_readiness()
+        self.front.check_peers()
+        self.dispatch.report_loads()
+        load = self.dispatch.active / 100.0
+        self.table.update_self(load=round(load, 2))
+
+    def _follow_pauses(self) -> None:
+        """Take no work on old state after this process was paused."""
+        if self.table.pauses > self._pauses_seen:
+            self._pauses_seen = self.table.pauses
+            self.life.fall_behind()
+            _log.warn("resumed after a pause", node=self.id)
+
+    def _follow_readiness(self) -> None:
+        if self.catalog.ready:
+            self.life.catch_up()
+        serving = self.life.may_serve()
+        self.front.serving = serving
+        joined = self.life.name() == "serving"
+        if joined != self.table.me.joined:
+            self.table.update_self(joined=joined)
+
+    def _keep_house(self) -> None:
+        self.links.close_idle(self.now_ms())
+
+    # Messages ---------------------------------------------------------
+
+    def send(self, node: ids.NodeId, message: messages.Message) -> None:
+        """Send to a node by its id; to itself without a socket."""
+        if node == self.id:
+            self.reactor.callLater(0, self._handle_own, message)
+            return
+        member = self.table.find(node)
+        if member is not None:
+            self.links.send(member.inner, message)
+        else:
+            self.metrics.count("sends_to_unknown_node")
+
+    def _handle_own(self, message: messages.Message) -> None:
+        self._handle(self.links.header, message)
+
+    def _receive(
+        self, header: codec.Header, batch: list[messages.Message]
+    ) -> None:
+        self.front.on_heard(header.sender)
+        for message in batch:
+            try:
+                self._handle(header, message)
+            except Exception as error:
+                self.metrics.count("message_failures")
+                _log.exception(
+                    "a message failed",
+                    kind=type(message).__name__,
+                    detail=repr(error),
+                )
+
+    def _handle(self, header: codec.Header, message: messages.Message) -> None:
+        sender = header.sender
+        match message:
+            case messages.Scatter():
+                self.dispatch.on_scatter(sender, message)
+            case messages.Piece():
+                self.front.on_piece(message)
+            case messages.CancelPieces():
+                self.dispatch.on_cancel(sender, message)
+            case messages.Loads():
+                self.front.on_loads(message)
+            case messages.Claim():
+                self.journals.on_claim(sender, message)
+            case messages.ClaimReply():
+                self.journals.on_reply(message)
+            case messages.Outcome():
+                self.journals.on_outcome(message)
+            case messages.Suspicions():
+                self.dispatch.on_suspicions(message)
+            case messages.Ping(sequence=sequence):
+                self.links.send(header.inner, messages.Pong(sequence))
+            case messages.Pong():
+                pass
+            case _:
+                self._handle_control(header, message)
+
+    def _handle_control(
+        self, header: codec.Header, message: messages.Message
+    ) -> None:
+        now_ms = self.now_ms()
+        inner = header.inner
+        actions: list[membership.SendTo] = []
+        match message:
+            case messages.Probe():
+                actions = self.table.on_probe(
+                    now_ms, header.sender, inner, message
+                )
+                self.control.on_digests(inner, message.digests)
+            case messages.ProbeAck():
+                actions = self.table.on_ack(now_ms, message)
+                self.control.on_digests(inner, message.digests)
+            case messages.ProbeVia():
+                actions = self.table.on_probe_via(
+                    now_ms, header.sender, inner, message
+                )
+            case messages.Pull():
+                self.control.on_pull(inner, message)
+            case messages.Push():
+                self.control.on_push(inner, message)
+            case messages.MembersPull():
+                self.control.on_members_pull(inner)
+            case messages.MembersPush():
+                self.control.on_members_push(message)
+        for action in actions:
+            self.links.send(action.inner, action.message)
+
+    # Reactions --------------------------------------------------------
+
+    def _on_catalog(self, name: str) -> None:
+        self.control.follow_keys()
+        self.control.follow_watches()
+        self.dispatch.on_catalog()
+        self._apply_caps()
+        self.front.on_index(name)
+
+    def _apply_caps(self) -> None:
+        held = self.catalog.config
+        if held is None:
+            return
+        # Two nodes may own one upstream for a moment: half the cap each.
+        caps = [item.connection_cap // 2 for item in held.services.values()]
+        if caps:
+            self.upstream.cap = max(1, min(caps))
+
+    def _on_member_lost(self, node: ids.NodeId) -> None:
+        _log.info("a member is gone", member=node)
+        self.front.on_node_lost(node)
+
+    def _spread_suspects(self, news: messages.Suspicions) -> None:
+        for update in self.table.alive():
+            if update.node != self.id:
+                self.links.send(update.inner, news)
+
+    # Stopping ---------------------------------------------------------
+
+    def stop(self) -> "defer.Deferred[None]":
+        """Leave gracefully; a second call waits for the first."""
+        if self._stopping is None:
+            self._stopping = defer.ensureDeferred(self._stop())
+        waiting: defer.Deferred[None] = defer.Deferred()
+        self._stopping.chainDeferred(waiting)
+        return waiting
+
+    async def _stop(self) -> None:
+        _log.info("leaving", node=self.id)
+        self.life.leave()
+        self.control.stopping = True
+        self.table.leave()
+        await self._sleep(self._address_age_s())
+        self.life.drain()
+        for port in self._ports:
+            await defer.maybeDeferred(port.stopListening)
+        await self._finish_requests()
+        self.life.stop()
+        await self._close()
+        _log.info("stopped", node=self.id)
+
+    def _address_age_s(self) -> float:
+        """Return how long a caller may still use this node's address."""
+        held = self.catalog.config
+        settings = held.addresses if held else config.Addresses()
+        return settings.max_age_ms / clock.MS_PER_S
+
+    async def _finish_requests(self) -> None:
+        waited_s = 0.0
+        while not self._idle() and waited_s < FINISH_LIMIT_S:
+            await self._sleep(FINISH_POLL_S)
+            waited_s += FINISH_POLL_S
+        for site in self._sites:
+            site.close_idle()
+
+    def _idle(self) -> bool:
+        return (
+            self.front.idle
+            and self.dispatch.idle
+            and self.journals.idle
+            and self.callers.open_requests == 0
+        )
+
+    async def _close(self) -> None:
+        for loop in self._loops:
+            if loop.running:
+                loop.stop()
+        self.dispatch.stop()
+        self.links.close()
+        await self.upstream.close()
+        await self.store.close()
+        self.tracer.close()
+
+    async def _sleep(self, seconds: float) -> None:
+        await task.deferLater(self.reactor, seconds, lambda: None)
--- /dev/null
+++ b/packages/daemon/src/godwitflow/daemon/operators.py
@@ -0,0 +1,188 @@
+"""The operators' HTTP interface: health, readiness, metrics, status."""
+
+import typing
+
+import klein
+import msgspec
+
+from godwitflow.daemon import control as control_module
+from godwitflow.daemon import dispatch as dispatch_module
+from godwitflow.daemon import metrics as metrics_module
+from godwitflow.wire import links
+
+TEXT = "text/plain; charset=utf-8"
+JSON = "application/json"
+
+
+class MemberStatus(msgspec.Struct):
+    """A member as this node sees it."""
+
+    node: str
+    failure_domain: str
+    state: str
+    joined: bool
+    incarnation: int
+    operator: str
+
+
+class UpstreamStatus(msgspec.Struct):
+    """An upstream as its dispatcher sees it."""
+
+    upstream: str
+    service: str
+    replica_set: str
+    breaker: str
+    leaving: bool
+    limit: int
+    in_flight: int
+    average_ms: float
+
+
+class Status(msgspec.Struct):
+    """What one node reports of itself and of what it sees."""
+
+    node: str
+    failure_domain: str
+    state: str
+    joined: bool
+    generation: int
+    snapshots: dict[str, int]
+    members: list[MemberStatus]
+    owned: dict[str, int]
+    upstreams: list[UpstreamStatus]
+    store_failures: int
+    refused_objects: int
+
+
+class Operators:
+    """Routes of the operators' listener."""
+
+    app = klein.Klein()
+
+    def __init__(
+        self,
+        control: control_module.Control,
+        dispatch: dispatch_module.Dispatch,
+        metrics: metrics_module.Metrics,
+        inner: links.Links,
+        state: typing.Callable[[], str],
+    ) -> None:
+        self.control = control
+        self.dispatch = dispatch
+        self.metrics = metrics
+        self.links = inner
+        self.state = state
+
+    def resource(self) -> typing.Any:
+        """Return the resource that a site serves."""
+        return self.app.resource()
+
+    @app.route("/healthz")
+    def healthz(self, request: typing.Any) -> bytes:
+        """Answer 200 for as long as the process runs."""
+        return b"ok\n"
+
+    @app.route("/readyz")
+    def readyz(self, request: typing.Any) -> bytes:
+        """Answer 200 while callers may be sent here."""
+        if self.control.table.me.joined:
+            return b"ready\n"
+        request.setResponseCode(503)
+        return f"{self.state()}\n".encode()
+
+    @app.route("/metrics")
+    def figures(self, request: typing.Any) -> bytes:
+        """Answer counters, gauges and quantiles as text."""
+        request.setHeader("Content-Type", TEXT)
+        rows = self.metrics.lines() + self._gauges() + self._policy_lines()
+        return ("\n".join(rows) + "\n").encode()
+
+    def _gauges(self) -> list[str]:
+        counters = vars(self.links.counters)
+        rows = [
+            metrics_module.gauge(f"links_{name}", value)
+            for name, value in sorted(counters.items())
+        ]
+        head = self.control.catalog.head
+        generation = head.generation if head else 0
+        rows.append(metrics_module.gauge("generation", generation))
+        members = len(self.control.table.alive())
+        rows.append(metrics_module.gauge("members_alive", members))
+        return rows
+
+    def _policy_lines(self) -> list[str]:
+        totals: dict[tuple[str, str], int] = {}
+        for (service, _), found in self.dispatch.sets.items():
+            for name, count in found.counts.items():
+                key = (service, name)
+                totals[key] = totals.get(key, 0) + count
+        return [
+            metrics_module.gauge(
+                "dispatcher_events_total", count, service=service, event=name
+            )
+            for (service, name), count in sorted(totals.items())
+        ]
+
+    @app.route("/status")
+    def status(self, request: typing.Any) -> bytes:
+        """Answer this node's state as JSON."""
+        request.setHeader("Content-Type", JSON)
+        return msgspec.json.encode(self._status())
+
+    def _status(self) -> Status:
+        control = self.control
+        me = control.table.me
+        head = control.catalog.head
+        return Status(
+            me.node,
+            me.failure_domain,
+            self.state(),
+            me.joined,
+            head.generation if head else 0,
+            {
+                index.service: index.snapshot
+                for index in control.catalog.indexes.values()
+            },
+            self._members(),
+            self._owned(),
+            self._upstreams(),
+            control.store_failures,
+            control.catalog.refused,
+        )
+
+    def _members(self) -> list[MemberStatus]:
+        return [
+            MemberStatus(
+                update.node,
+                update.failure_domain,
+                update.state.name.lower(),
+                update.joined,
+                update.incarnation,
+                update.operator,
+            )
+            for update in self.control.table.table()
+        ]
+
+    def _owned(self) -> dict[str, int]:
+        counts: dict[str, int] = {}
+        for index in self.control.catalog.indexes.values():
+            for set_id in index.replica_sets:
+                owner = self.control.route(f"{index.service}/{set_id}")[0]
+                counts[owner] = counts.get(owner, 0) + 1
+        return counts
+
+    def _upstreams(self) -> list[UpstreamStatus]:
+        return [
+            UpstreamStatus(
+                item.id,
+                service,
+                set_id,
+                item.breaker.value,
+                item.leaving,
+                item.limit,
+                item.in_flight,
+                round(item.average.value_ms, 2),
+            )
+            for (service, set_id), found in self.dispatch.sets.items()
+            for item in found.replicas.by_id.values()
+        ]
--- /dev/null
+++ b/packages/fakes/src/godwitflow/fakes/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the platform, upstreams and callers."""
--- /dev/null
+++ b/packages/lab/src/godwitflow/lab/__init__.py
@@ -0,0 +1,1 @@
+"""Load, measurement and experiment tools."""
--- /dev/null
+++ b/packages/lab/src/godwitflow/lab/stage.py
@@ -0,0 +1,145 @@
+"""Stand-ins and nodes together in one process, on loopback."""
+
+import pathlib
+import typing
+
+from twisted.internet import defer
+from twisted.internet import task
+import zmq
+
+from godwitflow.daemon import node as node_module
+from godwitflow.fakes import deployment as deployment_module
+from godwitflow.fakes import platform
+from godwitflow.model import errors
+from godwitflow.model import ids
+from godwitflow.model import index as index_model
+from godwitflow.platform import changes
+from godwitflow.platform import vms
+from godwitflow.settings import process
+
+READY_LIMIT_S = 10.0
+POLL_S = 0.02
+
+
+class Stage:
+    """A platform, a fleet of upstreams and nodes on one reactor."""
+
+    def __init__(
+        self,
+        reactor: typing.Any,
+        deployment: deployment_module.Deployment,
+        seed: int = 1,
+        trace_file: str = "",
+        trace_share: float = 0.0,
+    ) -> None:
+        self.reactor = reactor
+        self.deployment = deployment
+        self.trace_file = trace_file
+        self.trace_share = trace_share
+        self.context = zmq.Context()
+        self.platform = platform.Platform(reactor)
+        self.platform_url = self.platform.listen()
+        self.fleet = deployment_module.Fleet(reactor, deployment, seed)
+        self.nodes: dict[str, node_module.Node] = {}
+        self.versions: dict[str, int] = {}
+
+    async def publish(self) -> changes.Applied:
+        """Publish the indexes and apply the deployment's folder."""
+        for index in self.fleet.indexes.values():
+            await self.publish_index(index)
+        files = deployment_module.files(self.deployment)
+        return await changes.apply(self.platform.store, files, "demo")
+
+    async def publish_index(self, index: index_model.Index) -> None:
+        """Put an index object, as the platform would."""
+        name = f"index/{index.service}"
+        held = self.versions.get(name, 0)
+        value = index_model.encode(index)
+        self.versions[name] = await self.platform.store.put(name, value, held)
+
+    async def start_node(self, name: str, domain: str) -> node_module.Node:
+        """Start one node and put it on the platform's list."""
+        settings = process.Process(
+            name,
+            domain,
+            "127.0.0.1",
+            self.platform_url,
+            caller_port=0,
+            operator_port=0,
+            inner_port=0,
+            seeds=tuple(
+                node.links.inlet.address for node in self.nodes.values()
+            )[:2],
+            trace_file=self.trace_file,
+            trace_share=self.trace_share,
+        )
+        node = node_module.Node(self.reactor, settings, self.context)
+        node.start()
+        self.nodes[name] = node
+        await self.publish_vms()
+        return node
+
+    async def publish_vms(self) -> None:
+        """Publish the platform's list of VMs."""
+        listed = tuple(
+            vms.Vm(
+                node.id,
+                ids.FailureDomain(node.settings.failure_domain),
+                node.links.inlet.address,
+            )
+            for node in self.nodes.values()
+        )
+        held = self.versions.get(vms.LIST_NAME, 0)
+        self.versions[vms.LIST_NAME] = await self.platform.store.put(
+            vms.LIST_NAME, vms.encode(listed), held
+        )
+
+    async def start_nodes(self, count: int) -> None:
+        """Start nodes, spread over the failure domains."""
+        domains = self.deployment.failure_domains
+        for number in range(count):
+            domain = domains[number % len(domains)]
+            await self.start_node(f"vm{number + 1}", domain)
+
+    async def wait_ready(self, members: int) -> None:
+        """Wait until each node serves and sees that many members."""
+
+        def ready(node: node_module.Node) -> bool:
+            joined = [row for row in node.table.alive() if row.joined]
+            return node.front.serving and len(joined) >= members
+
+        await self.wait_until(
+            lambda: all(ready(node) for node in self.nodes.values())
+        )
+
+    async def wait_until(self, done: typing.Callable[[], bool]) -> None:
+        """Poll a condition; raises where it does not come true."""
+        waited_s = 0.0
+        while not done():
+            if waited_s > READY_LIMIT_S:
+                raise errors.GodwitflowError("the nodes did not get ready")
+            await task.deferLater(self.reactor, POLL_S, lambda: None)
+            waited_s += POLL_S
+
+    def entry_points(self) -> tuple[str, ...]:
+        """Return every node's caller URL."""
+        return tuple(node.caller_url for node in self.nodes.values())
+
+    async def stop_nodes(self) -> None:
+        """Stop every node gracefully, all at once."""
+        stopping = [node.stop() for node in self.nodes.values()]
+        await defer.gatherResults(stopping)
+
+    async def close(self) -> None:
+        """Stop the stand-ins."""
+        await self.fleet.close()
+        await self.platform.close()
+        self.context.destroy(linger=0)
+
+
+def new_trace_file(name: str) -> str:
+    """Return the path of an empty trace file under ``out``."""
+    path = pathlib.Path("out") / name
+    path.parent.mkdir(exist_ok=True)
+    path.write_text("")
+    return str(path)
--- /dev/null
+++ b/packages/model/src/godwitflow/model/__init__.py
@@ -0,0 +1,1 @@
+"""Ids, states, errors and values shared by every package."""
--- /dev/null
+++ b/packages/model/src/godwitflow/model/ids.py
@@ -0,0 +1,25 @@
+"""Identifiers: plain strings and integers with a type each."""
+
+import typing
+
+NodeId = typing.NewType("NodeId", str)
+"""A godwitflow process, named by the VM id of its settings."""
+
+FailureDomain = typing.NewType("FailureDomain", str)
+ServiceName = typing.NewType("ServiceName", str)
+ShardId = typing.NewType("ShardId", str)
+ReplicaSetId = typing.NewType("ReplicaSetId", str)
+
+UpstreamId = typing.NewType("UpstreamId", str)
+"""An upstream's base URL, such as ``http://10.0.0.7:9000``."""
+
+SnapshotVersion = typing.NewType("SnapshotVersion", int)
+Generation = typing.NewType("Generation", int)
+RequestKey = typing.NewType("RequestKey", str)
+Fingerprint = typing.NewType("Fingerprint", int)
+
+PieceId = typing.NewType("PieceId", int)
+"""A front's correlation id of one shard's part of one query."""
+
+Rank = typing.NewType("Rank", int)
+"""A priority's place in the service's list; 0 is the most urgent."""
--- /dev/null
+++ b/packages/platform/src/godwitflow/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform's object API."""
--- /dev/null
+++ b/packages/platform/src/godwitflow/platform/http.py
@@ -0,0 +1,142 @@
+"""The object API over HTTP: one dialect, that of the stand-in.
+
+``GET /objects/NAME`` answers the value with its version in the header
+``Object-Version``; ``PUT`` with ``If-Match: VERSION`` is conditional;
+``GET`` with ``after`` and ``wait_ms`` watches; ``GET /objects?prefix=``
+lists names.
+"""
+
+import typing
+import urllib.parse
+
+import msgspec
+import treq
+from treq import client as treq_client
+from twisted.internet import defer
+from twisted.internet import error as net_error
+from twisted.web import _newclient
+from twisted.web import client as web_client
+
+from godwitflow.model import errors
+from godwitflow.platform import store
+
+MS_PER_S = 1_000.0
+CALL_TIMEOUT_MS = 2_000.0
+CONNECT_TIMEOUT_S = 1.0
+VERSION_HEADER = "Object-Version"
+
+_NOT_SENT = (
+    net_error.ConnectError,
+    net_error.ConnectionRefusedError,
+    net_error.TimeoutError,
+    _newclient.RequestNotSent,
+)
+
+
+class HttpStore:
+    """The store behind a base URL such as ``http://10.0.0.2:7000``."""
+
+    def __init__(self, reactor: typing.Any, base_url: str) -> None:
+        self.reactor = reactor
+        self.base_url = base_url.rstrip("/")
+        self.calls = 0
+        self.pool = web_client.HTTPConnectionPool(reactor)
+        self.pool.maxPersistentPerHost = 16
+        # A resend of a write by the pool would hide a lost answer.
+        self.pool.retryAutomatically = False
+        agent = web_client.Agent(
+            reactor, connectTimeout=CONNECT_TIMEOUT_S, pool=self.pool
+        )
+        self.client = treq_client.HTTPClient(typing.cast(typing.Any, agent))
+
+    async def close(self) -> None:
+        """Close the idle connections."""
+        await self.pool.closeCachedConnections()
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        timeout_ms: float,
+        **options: typing.Any,
+    ) -> tuple[int, typing.Any, bytes]:
+        self.calls += 1
+        sending = defer.ensureDeferred(self._exchange(method, path, options))
+        sending.addTimeout(timeout_ms / MS_PER_S, self.reactor)
+        try:
+            return await sending
+        except _NOT_SENT as error:
+            raise errors.StoreUnavailableError(repr(error)) from error
+        except Exception as error:
+            if method == "PUT":
+                raise errors.StoreOutcomeUnknownError(repr(error)) from error
+            raise errors.StoreUnavailableError(repr(error)) from error
+
+    async def _exchange(
+        self, method: str, path: str, options: dict[str, typing.Any]
+    ) -> tuple[int, typing.Any, bytes]:
+        url = self.base_url + path
+        response = await self.client.request(method, url, **options)
+        body = await treq.content(response)
+        return response.code, response.headers, body
+
+    async def get(self, name: str) -> store.Stored:
+        """Return an object."""
+        path = "/objects/" + urllib.parse.quote(name)
+        code, headers, body = await self._call("GET", path, CALL_TIMEOUT_MS)
+        return _stored(name, code, headers, body)
+
+    async def put(self, name: str, value: bytes, version: int) -> int:
+        """Write if the object still has the version."""
+        if len(value) > store.MAX_VALUE_BYTES:
+            raise errors.ValueTooLargeError(f"{name}: {len(value)} bytes")
+        path = "/objects/" + urllib.parse.quote(name)
+        code, headers, _ = await self._call(
+            "PUT",
+            path,
+            CALL_TIMEOUT_MS,
+            data=value,
+            headers={"If-Match": str(version)},
+        )
+        if code == 412:
+            raise errors.StoreConflictError(name)
+        if code == 413:
+            raise errors.ValueTooLargeError(name)
+        if code in (429, 503):
+            raise errors.StoreUnavailableError(f"{name}: status {code}")
+        if code != 200:
+            raise errors.StoreOutcomeUnknownError(f"{name}: status {code}")
+        return _version_of(headers)
+
+    async def watch(
+        self, name: str, after: int, wait_ms: float
+    ) -> store.Stored:
+        """Return the object once newer than ``after`` or time is up."""
+        query = f"?after={after}&wait_ms={wait_ms:.0f}"
+        path = "/objects/" + urllib.parse.quote(name) + query
+        timeout_ms = wait_ms + CALL_TIMEOUT_MS
+        code, headers, body = await self._call("GET", path, timeout_ms)
+        return _stored(name, code, headers, body)
+
+    async def names(self, prefix: str) -> list[str]:
+        """List names that start with a prefix."""
+        path = "/objects?prefix=" + urllib.parse.quote(prefix, safe="")
+        code, _, body = await self._call("GET", path, CALL_TIMEOUT_MS)
+        if code != 200:
+            raise errors.StoreUnavailableError(f"list: status {code}")
+        return msgspec.json.decode(body, type=list[str])
+
+
+def _version_of(headers: typing.Any) -> int:
+    values = headers.getRawHeaders(VERSION_HEADER) or ["0"]
+    return int(values[0])
+
+
+def _stored(
+    name: str, code: int, headers: typing.Any, body: bytes
+) -> store.Stored:
+    if code == 404:
+        raise errors.ObjectMissingError(name)
+    if code != 200:
+        raise errors.StoreUnavailableError(f"{name}: status {code}")
+    return store.Stored(body, _version_of(headers))
--- /dev/null
+++ b/packages/policy/src/godwitflow/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decisions under load: no input or output, time an argument."""
--- /dev/null
+++ b/packages/policy/src/godwitflow/policy/budget.py
@@ -0,0 +1,60 @@
+"""Budgets of extra work, refilled by the work that is asked for."""
+
+
+class ShareBudget:
+    """Allows extra work up to a share of primary work.
+
+    Each primary request adds ``share`` tokens and each extra one takes a
+    whole token, so that extra load never exceeds the share for long. The
+    ``burst`` bounds what quiet times can save up.
+
+    >>> budget = ShareBudget(share=0.5, burst=2.0)
+    >>> for _ in range(4):
+    ...     budget.on_primary()
+    >>> [budget.take() for _ in range(3)]
+    [True, True, False]
+    """
+
+    __slots__ = ("burst", "share", "tokens")
+
+    def __init__(self, share: float, burst: float) -> None:
+        self.share = share
+        self.burst = burst
+        self.tokens = 0.0
+
+    def on_primary(self, count: int = 1) -> None:
+        """Refill for primary requests."""
+        self.tokens = min(self.burst, self.tokens + self.share * count)
+
+    def take(self) -> bool:
+        """Take a token for one extra request, if there is one."""
+        if self.tokens < 1.0:
+            return False
+        self.tokens -= 1.0
+        return True
+
+
+class RateBudget:
+    """Allows calls up to a rate, such as those to the store."""
+
+    __slots__ = ("_at_ms", "burst", "rate_per_s", "tokens")
+
+    def __init__(self, rate_per_s: float, burst: float) -> None:
+        self.rate_per_s = rate_per_s
+        self.burst = burst
+        self.tokens = burst
+        self._at_ms = 0.0
+
+    def take(self, now_ms: float) -> bool:
+        """Take a token, if the rate allows a call now."""
+        self._refill(now_ms)
+        if self.tokens < 1.0:
+            return False
+        self.tokens -= 1.0
+        return True
+
+    def _refill(self, now_ms: float) -> None:
+        elapsed_s = max(0.0, now_ms - self._at_ms) / 1_000.0
+        self._at_ms = now_ms
+        refilled = self.tokens + elapsed_s * self.rate_per_s
+        self.tokens = min(self.burst, refilled)
--- /dev/null
+++ b/packages/policy/src/godwitflow/policy/catalog.py
@@ -0,0 +1,195 @@
+"""The objects of the store that a node holds, and who is behind.
+
+Nodes pass objects on to each other. A digest over all names and
+versions says in a few bytes whether two nodes hold the same; only where
+it differs do they compare names.
+"""
+
+import dataclasses
+import typing
+
+from godwitflow.model import errors
+from godwitflow.model import ids
+from godwitflow.model import index as index_model
+from godwitflow.policy import ownership
+from godwitflow.settings import accepted
+from godwitflow.settings import config
+from godwitflow.wire import messages
+
+SUMMARY_NAME = "*"
+INDEX_PREFIX = "index/"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Held:
+    """An object's version and value."""
+
+    version: int
+    value: bytes
+
+
+class Catalog:
+    """Configuration head, its files and the indexes, as held here.
+
+    An object replaces an older one only when its version is higher and
+    its value is good; a bad one is counted and the last good one stays.
+    A generation comes into force once all of its files are held.
+    """
+
+    def __init__(self) -> None:
+        self.objects: dict[str, Held] = {}
+        self.head: accepted.Head | None = None
+        self.config: config.Config | None = None
+        self.indexes: dict[str, index_model.Index] = {}
+        self.refused = 0
+        self.generations: list[ids.Generation] = []
+        self._pending: tuple[accepted.Head, Held] | None = None
+        self._summary: int | None = None
+
+    # Taking objects ---------------------------------------------------
+
+    def offer(self, name: str, version: int, value: bytes) -> bool:
+        """Take an object if it is newer and good; True where it was."""
+        held = self.objects.get(name)
+        if held is not None and version <= held.version:
+            return False
+        try:
+            taken = self._take(name, Held(version, value))
+        except (errors.GodwitflowError, ValueError):
+            self.refused += 1
+            return False
+        self._summary = None
+        return taken
+
+    def _take(self, name: str, held: Held) -> bool:
+        if name == accepted.HEAD_NAME:
+            return self._take_head(held)
+        if name.startswith(accepted.FILE_PREFIX):
+            return self._take_file(name, held)
+        if not name.startswith(INDEX_PREFIX):
+            raise errors.CodecError(f"an object of no known kind: {name}")
+        return self._take_index(name, held)
+
+    def _take_head(self, held: Held) -> bool:
+        head = accepted.decode_head(held.value)
+        current = self.head.generation if self.head else 0
+        if head.generation <= current:
+            raise errors.CodecError("a generation that is not higher")
+        if self._pending and head.generation <= self._pending[0].generation:
+            return False
+        self._pending = (head, held)
+        self._try_pending()
+        return True
+
+    def _take_file(self, name: str, held: Held) -> bool:
+        sha256 = name.removeprefix(accepted.FILE_PREFIX)
+        ref = accepted.FileRef(name, sha256)
+        probe = accepted.Head(ids.Generation(1), "", "", (ref,))
+        accepted.assemble(probe, {sha256: held.value})
+        self.objects[name] = held
+        self._try_pending()
+        return True
+
+    def _take_index(self, name: str, held: Held) -> bool:
+        index = index_model.decode(held.value)
+        known = self.indexes.get(name)
+        if known is not None and index.snapshot < known.snapshot:
+            raise errors.IndexInvalidError("an older snapshot")
+        self.indexes[name] = index
+        self.objects[name] = held
+        return True
+
+    def _try_pending(self) -> None:
+        if self._pending is None:
+            return
+        head, held = self._pending
+        if self.missing_files():
+            return
+        self._pending = None
+        parsed = accepted.parse(head, self._contents(head))
+        self.head = head
+        self.config = parsed
+        self.objects[accepted.HEAD_NAME] = held
+        self.generations.append(head.generation)
+        self._drop_old_files(head)
+
+    def _contents(self, head: accepted.Head) -> dict[str, bytes]:
+        return {
+            ref.sha256: self.objects[accepted.object_name(ref.sha256)].value
+            for ref in head.files
+        }
+
+    def _drop_old_files(self, head: accepted.Head) -> None:
+        kept = {accepted.object_name(ref.sha256) for ref in head.files}
+        for name in list(self.objects):
+            if name.startswith(accepted.FILE_PREFIX) and name not in kept:
+                del self.objects[name]
+
+    # What is wanted ---------------------------------------------------
+
+    def missing_files(self) -> tuple[str, ...]:
+        """Return the names of files that a newer generation still needs."""
+        if self._pending is None:
+            return ()
+        names = (
+            accepted.object_name(ref.sha256) for ref in self._pending[0].files
+        )
+        return tuple(name for name in names if name not in self.objects)
+
+    def watched_names(self) -> tuple[str, ...]:
+        """Return the names that some node must watch in the store."""
+        names = {accepted.HEAD_NAME}
+        if self.config is not None:
+            services = self.config.services.values()
+            names.update(service.index for service in services)
+        return tuple(sorted(names))
+
+    def index_of(self, service: config.Service) -> index_model.Index | None:
+        """Return the index of a service, if it is held."""
+        return self.indexes.get(service.index)
+
+    @property
+    def ready(self) -> bool:
+        """Whether a configuration and each service's index are held."""
+        if self.config is None:
+            return False
+        services = self.config.services.values()
+        return all(service.index in self.indexes for service in services)
+
+    # Digests ----------------------------------------------------------
+
+    def digests(self) -> tuple[messages.Digest, ...]:
+        """Return each shared name with the version held."""
+        return tuple(
+            messages.Digest(name, held.version)
+            for name, held in sorted(self.objects.items())
+            if not name.startswith(accepted.FILE_PREFIX)
+        )
+
+    def summary(self) -> messages.Digest:
+        """Return one digest that stands for all names and versions."""
+        if self._summary is None:
+            rows = self.digests()
+            text = ";".join(f"{row.name}={row.version}" for row in rows)
+            self._summary = ownership.hash64(text) >> 1
+        return messages.Digest(SUMMARY_NAME, self._summary)
+
+    def behind(
+        self, digests: typing.Iterable[messages.Digest]
+    ) -> tuple[str, ...]:
+        """Return the names of which a peer holds a newer version."""
+        names = []
+        for digest in digests:
+            held = self.objects.get(digest.name)
+            version = held.version if held else 0
+            if digest.name != SUMMARY_NAME and digest.version > version:
+                names.append(digest.name)
+        return tuple(names)
+
+    def differs(self, digests: tuple[messages.Digest, ...]) -> bool:
+        """Tell whether a peer's summary says that it holds other things."""
+        return any(
+            digest.name == SUMMARY_NAME
+            and digest.version != self.summary().version
+            for digest in digests
+        )
--- /dev/null
+++ b/packages/policy/src/godwitflow/policy/dispatcher.py
@@ -0,0 +1,599 @@
+"""Decides which queued piece goes to which replica, and when.
+
+One dispatcher owns a replica set: all calls to the set's upstreams are
+its own, so one queue in one order serves all their slots. It performs
+no input or output: each event returns the actions to carry out.
+"""
+
+import collections
+import itertools
+
+from godwitflow.model import answers
+from godwitflow.model import ids
+from godwitflow.policy import budget
+from godwitflow.policy import calls
+from godwitflow.policy import hedging
+from godwitflow.policy import jobs
+from godwitflow.policy import latency
+from godwitflow.policy import replicas
+from godwitflow.policy import scheduler
+from godwitflow.policy import suspects
+from godwitflow.policy import upstreams
+from godwitflow.settings import config
+from godwitflow.wire import messages
+
+RETRY_BURST = 20.0
+MAX_QUEUE = 20_000
+MAX_ASIDE = 8
+BUSY_WEIGHT = 0.02
+SHARE_WEIGHT = 0.02
+URGENT_RECENT_MS = 1_000.0
+RESERVE_SHARE = 0.15
+MAX_TRIES = 3
+EXPIRY_CHECK_MS = 10.0
+SILENCE_CHECK_MS = 25.0
+SILENCE_MIN_MS = 50.0
+SILENCE_FACTOR = 3.0
+SILENCE_REPLIES = 3
+SILENCE_ALONE_FACTOR = 12.0
+
+
+class ReplicaSet:
+    """The policy for one replica set of one service."""
+
+    def __init__(
+        self,
+        set_id: ids.ReplicaSetId,
+        service: config.Service,
+        members: tuple[ids.UpstreamId, ...],
+        suspect_table: suspects.Suspects,
+        seed: int = 0,
+        cold: bool = False,
+    ) -> None:
+        self.id = set_id
+        self.service = service
+        self.floors = service.floors
+        self.suspects = suspect_table
+        self.queue: scheduler.Scheduler[jobs.Job] = scheduler.Scheduler(
+            self.floors
+        )
+        self.replicas = replicas.Replicas(members, service.slots, seed, cold)
+        self.hedging = hedging.Hedging(service.hedge)
+        self.retries = budget.ShareBudget(
+            service.retry_budget_share, RETRY_BURST
+        )
+        self.calls: dict[int, calls.Call] = {}
+        self.jobs: dict[tuple[str, ids.PieceId], jobs.Job] = {}
+        self.service_time = latency.Average(0.05)
+        self.busy_share = 0.0
+        self.counts: collections.Counter[str] = collections.Counter()
+        self._held: list[jobs.Job] = []
+        self._call_ids = itertools.count(1)
+        self._arrived_at_ms = [-URGENT_RECENT_MS] * len(self.floors)
+        self._start_shares = [0.0] * len(self.floors)
+        self._batch_since_ms: float | None = None
+        self._silence_check_at_ms = 0.0
+
+    def apply(self, service: config.Service) -> None:
+        """Take the settings of a newer configuration."""
+        self.service = service
+        self.hedging.apply(service.hedge)
+        self.retries.share = service.retry_budget_share
+        self.replicas.set_slots(service.slots)
+        if service.floors == self.floors:
+            return
+        waiting = self.queue.drain()
+        self.floors = service.floors
+        self.queue = scheduler.Scheduler(self.floors)
+        self._arrived_at_ms = [-URGENT_RECENT_MS] * len(self.floors)
+        self._start_shares = [0.0] * len(self.floors)
+        for job in waiting:
+            self.queue.push(job)
+
+    # Events -----------------------------------------------------------
+
+    def offer(self, now_ms: float, job: jobs.Job) -> list[jobs.Action]:
+        """Queue a job and start what can start."""
+        self.counts["offered"] += 1
+        key = (job.client, job.piece)
+        if key in self.jobs:
+            self.counts["duplicate"] += 1
+            return []
+        if self.suspects.condemned(job.fingerprint):
+            return [self._refuse(job, messages.PieceStatus.SUSPECT)]
+        if len(self.queue) >= MAX_QUEUE:
+            return [self._refuse(job, messages.PieceStatus.SHED)]
+        self.jobs[key] = job
+        rank = min(job.rank, len(self._arrived_at_ms) - 1)
+        self._arrived_at_ms[rank] = now_ms
+        job.queued_at_ms = now_ms
+        self.queue.push(job)
+        return self.step(now_ms)
+
+    def cancel(
+        self, now_ms: float, client: str, piece: ids.PieceId
+    ) -> list[jobs.Action]:
+        """Stop a job that its front no longer wants."""
+        job = self.jobs.pop((client, piece), None)
+        if job is None:
+            return []
+        self.counts["cancelled"] += 1
+        if not job.calls:
+            self.queue.discard(job)
+            return []
+        job.done = True
+        return self._cancel_calls(job)
+
+    def on_result(
+        self, now_ms: float, call_id: int, result: jobs.CallResult
+    ) -> list[jobs.Action]:
+        """Take the result of a call, then start what can start."""
+        call = self.calls.pop(call_id, None)
+        if call is None:
+            return []
+        call.ended = True
+        call.upstream.on_end()
+        for job in call.jobs:
+            job.calls.discard(call_id)
+        crashed = isinstance(result, jobs.CallCrashed)
+        self._end_trials(now_ms, call, crashed)
+        actions: list[jobs.Action] = []
+        match result:
+            case jobs.CallDone():
+                actions += self._on_done(now_ms, call, result)
+            case jobs.CallNotSent():
+                call.upstream.on_failure(now_ms)
+                actions += self._retry_all(call, ran=False)
+            case jobs.CallCrashed():
+                actions += self._on_crash(now_ms, call)
+            case jobs.CallTimedOut() | jobs.CallGarbled():
+                self._note_late(now_ms, call)
+                actions += self._retry_all(call, ran=True)
+        return actions + self.step(now_ms)
+
+    # Starting work ----------------------------------------------------
+
+    def step(self, now_ms: float) -> list[jobs.Action]:
+        """Drop what has expired, start what has a slot, hedge."""
+        held, self._held = self._held, []
+        for job in held:
+            self._requeue(job)
+        actions: list[jobs.Action] = []
+        for job in self.queue.drop_expired(now_ms):
+            actions.append(self._expire(job))
+        aside: list[jobs.Job] = []
+        while len(self.queue) and len(aside) < MAX_ASIDE:
+            started = self._start_next(now_ms, aside)
+            if started is None:
+                break
+            actions.extend(started)
+        for job in aside:
+            self._requeue(job)
+        for call in self.hedging.late(now_ms):
+            actions.extend(self._hedge(now_ms, call))
+        actions.extend(self._abort_silent(now_ms))
+        self._sample_busy()
+        return actions
+
+    def next_wakeup_ms(self, now_ms: float) -> float | None:
+        """Return when ``step`` should run next without an event."""
+        times = []
+        if self._batch_since_ms is not None:
+            times.append(self._batch_since_ms + self.service.batch_window_ms)
+        late_at_ms = self.hedging.next_late_at_ms()
+        if late_at_ms is not None:
+            times.append(late_at_ms)
+        if self.calls:
+            times.append(self._silence_check_at_ms)
+        if len(self.queue) or self._held:
+            times.append(now_ms + EXPIRY_CHECK_MS)
+        return max(min(times), now_ms + 0.1) if times else None
+
+    def _start_next(
+        self, now_ms: float, aside: list[jobs.Job]
+    ) -> list[jobs.Action] | None:
+        """Start one call; None where nothing more can start now."""
+        free = self.replicas.free(now_ms)
+        if free <= 0:
+            return None
+        allowed = self._allowed_rank(now_ms, free)
+        if self._waits_for_batch(now_ms):
+            return None
+        job = self.queue.pop(allowed)
+        if job is None:
+            return None
+        if self._too_late(now_ms, job):
+            return [self._expire(job)]
+        if self.suspects.condemned(job.fingerprint):
+            self._finish(job)
+            return [self._refuse(job, messages.PieceStatus.SUSPECT)]
+        if not self._may_run(job):
+            self._held.append(job)
+            return []
+        upstream = self._choose(now_ms, job)
+        if upstream is None:
+            return self._set_aside(job, aside)
+        batch = self._fill(job, allowed)
+        return [self._start(now_ms, upstream, batch)]
+
+    def _choose(
+        self, now_ms: float, job: jobs.Job
+    ) -> upstreams.Upstream | None:
+        upstream = self.replicas.choose(now_ms, job.tried)
+        if upstream is not None:
+            return upstream
+        may_probe = job.rank > 0 or len(self.floors) == 1
+        wait_ms = self.wait_ms(job.rank)
+        return self.replicas.choose_slow(now_ms, job.tried, may_probe, wait_ms)
+
+    def _set_aside(
+        self, job: jobs.Job, aside: list[jobs.Job]
+    ) -> list[jobs.Action]:
+        """Keep a job that no free replica may take now."""
+        if self.replicas.has_untried(job.tried):
+            aside.append(job)
+            return []
+        self._finish(job)
+        ran = answers.Ran.NOT_RUN
+        if job.may_have_run:
+            ran = answers.Ran.UNKNOWN
+        return [self._refuse(job, messages.PieceStatus.UNAVAILABLE, ran)]
+
+    def _waits_for_batch(self, now_ms: float) -> bool:
+        window_ms = self.service.batch_window_ms
+        if self.service.batch_size <= 1 or window_ms <= 0.0:
+            return False
+        if len(self.queue) >= self.service.batch_size:
+            self._batch_since_ms = None
+            return False
+        if self._batch_since_ms is None:
+            self._batch_since_ms = now_ms
+        if now_ms - self._batch_since_ms < window_ms:
+            return True
+        self._batch_since_ms = None
+        return False
+
+    def _fill(self, first: jobs.Job, allowed: int) -> list[jobs.Job]:
+        """Add queued jobs to a first one, up to the batch size."""
+        batch = [first]
+        if not self._batches(first):
+            return batch
+        aside = []
+        while len(batch) < self.service.batch_size:
+            job = self.queue.pop(allowed)
+            if job is None:
+                break
+            fits = self._batches(job) and not job.tried
+            if fits and self._may_run(job):
+                batch.append(job)
+            else:
+                aside.append(job)
+        for job in aside:
+            self.queue.push(job)
+        return batch
+
+    @staticmethod
+    def _batches(job: jobs.Job) -> bool:
+        return job.idempotent and not job.alone and not job.canary
+
+    def _allowed_rank(self, now_ms: float, free: int) -> int:
+        """Return the least urgent rank that may take one of the slots.
+
+        A share of the slots stays free for each more urgent rank that
+        has had work lately, since a running call cannot be preempted.
+        """
+        total = self.replicas.limit()
+        reserve = max(1, round(total * RESERVE_SHARE))
+        held = 0
+        for rank in range(len(self._arrived_at_ms)):
+            if free <= held:
+                return rank - 1
+            recent = now_ms - self._arrived_at_ms[rank] < URGENT_RECENT_MS
+            if recent and total > 2 * reserve:
+                held = reserve
+        return len(self._arrived_at_ms) - 1
+
+    def _too_late(self, now_ms: float, job: jobs.Job) -> bool:
+        """Tell whether a job can no longer be answered in time."""
+        needed_ms = self.service_time.value_ms * 0.5
+        return now_ms + needed_ms >= job.deadline_at_ms
+
+    def _may_run(self, job: jobs.Job) -> bool:
+        if not job.canary and not self.suspects.suspected(job.fingerprint):
+            return True
+        return self.suspects.may_start(job.fingerprint)
+
+    def _start(
+        self,
+        now_ms: float,
+        upstream: upstreams.Upstream,
+        batch: list[jobs.Job],
+        hedge: bool = False,
+    ) -> jobs.StartCall:
+        call_id = next(self._call_ids)
+        call = calls.Call(
+            call_id, upstream, batch, now_ms, upstream.successes, hedge
+        )
+        self.calls[call.id] = call
+        upstream.on_start()
+        for job in batch:
+            job.calls.add(call.id)
+            job.tried.append(upstream.id)
+            job.call_count += 1
+            if job.started_at_ms is None:
+                job.started_at_ms = now_ms
+                self._note_first_start(job)
+        self._track_trials(now_ms, batch)
+        self.counts["calls"] += 1
+        self.counts["pieces_sent"] += len(batch)
+        if hedge:
+            self.counts["hedges"] += 1
+        elif all(job.idempotent for job in batch):
+            self.hedging.track(call)
+        return jobs.StartCall(call.id, upstream.id, tuple(batch))
+
+    def _track_trials(self, now_ms: float, batch: list[jobs.Job]) -> None:
+        for job in batch:
+            suspected = self.suspects.suspected(job.fingerprint)
+            if job.canary or suspected:
+                job.trials += 1
+                self.suspects.on_start(job.fingerprint, now_ms)
+
+    def _note_first_start(self, job: jobs.Job) -> None:
+        self.hedging.budget.on_primary()
+        self.retries.on_primary()
+        for rank, share in enumerate(self._start_shares):
+            started = 1.0 if rank == job.rank else 0.0
+            self._start_shares[rank] += SHARE_WEIGHT * (started - share)
+
+    def _end_trials(
+        self, now_ms: float, call: calls.Call, crashed: bool
+    ) -> None:
+        """Count a call's trials of suspect requests as over."""
+        for job in call.jobs:
+            if job.trials:
+                job.trials -= 1
+                self.suspects.on_end(job.fingerprint, crashed, now_ms)
+            elif crashed:
+                self.suspects.on_end(job.fingerprint, True, now_ms)
+
+    # Hedging ----------------------------------------------------------
+
+    def _hedge(self, now_ms: float, call: calls.Call) -> list[jobs.Action]:
+        """Send a late call's open jobs to a second replica, if allowed."""
+        open_jobs = call.open_jobs()
+        first = open_jobs[0]
+        if first.canary or self.suspects.suspected(first.fingerprint):
+            return []
+        room = self.hedging.room(self.busy_share)
+        if self.replicas.random.random() >= room:
+            self.counts["hedges_no_room"] += 1
+            return []
+        upstream = self.replicas.choose(now_ms, first.tried)
+        if upstream is None:
+            self.counts["hedges_no_replica"] += 1
+            return []
+        if not self.hedging.budget.take():
+            self.counts["hedges_no_budget"] += 1
+            return []
+        return [self._start(now_ms, upstream, open_jobs, hedge=True)]
+
+    # Silent connections -----------------------------------------------
+
+    def _abort_silent(self, now_ms: float) -> list[jobs.Action]:
+        """Give up calls whose connection has probably gone silent.
+
+        A call is overdue while later calls to the same upstream have
+        answered, or it takes many times longer than any call should. A
+        request that may run only once is never given up early.
+        """
+        late_ms = self.hedging.delay_ms()
+        if now_ms < self._silence_check_at_ms or late_ms is None:
+            return []
+        self._silence_check_at_ms = now_ms + SILENCE_CHECK_MS
+        soon_ms = max(SILENCE_MIN_MS, SILENCE_FACTOR * late_ms)
+        alone_ms = max(SILENCE_MIN_MS, SILENCE_ALONE_FACTOR * late_ms)
+        actions: list[jobs.Action] = []
+        for call in self.calls.values():
+            elapsed_ms = now_ms - call.started_at_ms
+            overtaken = call.replies_since() >= SILENCE_REPLIES
+            limit_ms = soon_ms if overtaken else alone_ms
+            if elapsed_ms < limit_ms or call.aborted:
+                continue
+            if all(job.idempotent for job in call.jobs):
+                call.aborted = True
+                self.counts["aborted"] += 1
+                actions.append(jobs.AbortCall(call.id, call.upstream.id))
+        return actions
+
+    # Results ----------------------------------------------------------
+
+    def _on_done(
+        self, now_ms: float, call: calls.Call, result: jobs.CallDone
+    ) -> list[jobs.Action]:
+        elapsed_ms = now_ms - call.started_at_ms
+        if result.draining:
+            call.upstream.leaving = True
+        if not call.cancelled:
+            call.upstream.on_success(elapsed_ms)
+            self.service_time.record(elapsed_ms)
+            self.hedging.quantile.record(elapsed_ms)
+        actions: list[jobs.Action] = []
+        by_piece = {item.piece: item for item in result.items}
+        for job in call.jobs:
+            item = by_piece.get(job.piece_key, jobs.ItemFailed(job.piece_key))
+            actions += self._on_item(now_ms, call, job, item)
+        return actions
+
+    def _on_item(
+        self,
+        now_ms: float,
+        call: calls.Call,
+        job: jobs.Job,
+        item: jobs.Item,
+    ) -> list[jobs.Action]:
+        if job.done:
+            return []
+        match item:
+            case jobs.ItemOk(snapshot=snapshot, shard=shard):
+                if snapshot != job.snapshot or shard != job.shard:
+                    return self._wrong_snapshot(job)
+                return self._answer(now_ms, call, job, item)
+            case jobs.ItemShed(retry_after_ms=retry_after_ms):
+                call.upstream.on_shed(now_ms, retry_after_ms)
+                return self._retry(job, ran=False)
+            case jobs.ItemWrongSnapshot():
+                return self._wrong_snapshot(job)
+            case jobs.ItemCancelled():
+                return self._retry(job, ran=False)
+            case jobs.ItemFailed():
+                return self._retry(job, ran=True)
+
+    def _answer(
+        self, now_ms: float, call: calls.Call, job: jobs.Job, item: jobs.ItemOk
+    ) -> list[jobs.Action]:
+        self._finish(job)
+        if call.hedge:
+            self.counts["hedges_won"] += 1
+        started_ms = job.started_at_ms or now_ms
+        reply = jobs.Reply(
+            job,
+            messages.PieceStatus.OK,
+            answers.Ran.RAN,
+            item.rows,
+            started_ms - job.queued_at_ms,
+            now_ms - started_ms,
+        )
+        return [reply, *self._cancel_calls(job)]
+
+    def _finish(self, job: jobs.Job) -> None:
+        job.done = True
+        self.jobs.pop((job.client, job.piece), None)
+
+    def _cancel_calls(self, job: jobs.Job) -> list[jobs.Action]:
+        actions: list[jobs.Action] = []
+        for call_id in job.calls:
+            call = self.calls.get(call_id)
+            if call is None or call.cancelled:
+                continue
+            if any(not other.done for other in call.jobs):
+                continue
+            call.cancelled = True
+            actions.append(jobs.CancelCall(call_id, call.upstream.id))
+        return actions
+
+    def _wrong_snapshot(self, job: jobs.Job) -> list[jobs.Action]:
+        """Try another replica; with none left, the snapshot is gone."""
+        self.counts["wrong_snapshot"] += 1
+        job.wrong_snapshots += 1
+        if job.calls:
+            return []
+        if job.idempotent and self.replicas.has_untried(job.tried):
+            self._requeue(job)
+            return []
+        self._finish(job)
+        return [self._refuse(job, messages.PieceStatus.WRONG_SNAPSHOT)]
+
+    def _on_crash(self, now_ms: float, call: calls.Call) -> list[jobs.Action]:
+        self.counts["crashes"] += 1
+        call.upstream.on_failure(now_ms, fatal=True)
+        several = len(call.jobs) > 1
+        for job in call.jobs:
+            job.alone = job.alone or several
+        return self._retry_all(call, ran=True)
+
+    def _note_late(self, now_ms: float, call: calls.Call) -> None:
+        if call.replies_since() >= SILENCE_REPLIES:
+            return  # the connection was at fault, not the upstream
+        call.upstream.on_failure(now_ms)
+        if not call.cancelled:
+            call.upstream.on_late(now_ms - call.started_at_ms)
+
+    def _retry_all(self, call: calls.Call, ran: bool) -> list[jobs.Action]:
+        actions: list[jobs.Action] = []
+        for job in call.jobs:
+            if not job.done:
+                actions += self._retry(job, ran)
+        return actions
+
+    def _retry(self, job: jobs.Job, ran: bool) -> list[jobs.Action]:
+        """Try another replica where that is safe and budgeted."""
+        if job.calls:
+            return []
+        job.may_have_run = job.may_have_run or ran
+        safe = job.idempotent or not job.may_have_run
+        tries_left = len(job.tried) < min(MAX_TRIES, len(self.replicas))
+        if safe and tries_left and self._retry_allowed(job):
+            self.counts["retries"] += 1
+            self._requeue(job)
+            return []
+        self._finish(job)
+        ran_state = answers.Ran.NOT_RUN
+        status = messages.PieceStatus.SHED
+        if job.may_have_run:
+            ran_state = answers.Ran.UNKNOWN
+            status = messages.PieceStatus.FAILED
+        return [self._refuse(job, status, ran_state)]
+
+    def _retry_allowed(self, job: jobs.Job) -> bool:
+        if self.suspects.condemned(job.fingerprint):
+            return True  # requeued, and refused as suspect when taken
+        return self.retries.take()
+
+    def _requeue(self, job: jobs.Job) -> None:
+        if not job.done:
+            self.queue.push(job)
+
+    def _expire(self, job: jobs.Job) -> jobs.Reply:
+        self.counts["expired"] += 1
+        self._finish(job)
+        ran = answers.Ran.NOT_RUN
+        if job.may_have_run:
+            ran = answers.Ran.UNKNOWN
+        return self._refuse(job, messages.PieceStatus.EXPIRED, ran)
+
+    def _refuse(
+        self,
+        job: jobs.Job,
+        status: messages.PieceStatus,
+        ran: answers.Ran = answers.Ran.NOT_RUN,
+    ) -> jobs.Reply:
+        self.counts[status.name.lower()] += 1
+        retry_after_ms = self.wait_ms(job.rank)
+        return jobs.Reply(job, status, ran, retry_after_ms=retry_after_ms)
+
+    # Load -------------------------------------------------------------
+
+    def _sample_busy(self) -> None:
+        total = self.replicas.stated_slots()
+        busy = len(self.calls) / total if total else 1.0
+        self.busy_share += BUSY_WEIGHT * (busy - self.busy_share)
+
+    def _share_of(self, rank: int) -> float:
+        """Return the share of starts that a rank can count on."""
+        if rank == 0:
+            waiting = range(1, len(self.floors))
+            kept = (
+                self.floors[other]
+                for other in waiting
+                if self.queue.counts[other]
+            )
+            return max(0.1, 1.0 - sum(kept))
+        more_urgent = sum(self._start_shares[:rank])
+        return max(self.floors[rank], 1.0 - more_urgent, 0.02)
+
+    def wait_ms(self, rank: int) -> float:
+        """Return how long a new job of a rank would queue."""
+        rank = min(rank, len(self.floors) - 1)
+        own = self.queue.counts[rank]
+        if not own:
+            return 0.0
+        slots = max(1, self.replicas.limit())
+        each_ms = self.service_time.value_ms or replicas.UNMEASURED_MS
+        turn_ms = each_ms / (slots * self.service.batch_size)
+        return own * turn_ms / self._share_of(rank)
+
+    def load(self, name: ids.ServiceName) -> messages.SetLoad:
+        """Return the report that fronts base their admission on."""
+        waits = tuple(self.wait_ms(rank) for rank in range(len(self.floors)))
+        return messages.SetLoad(name, self.id, waits, self.busy_share)
--- /dev/null
+++ b/packages/policy/src/godwitflow/policy/hedging.py
@@ -0,0 +1,76 @@
+"""When a slow call gets a second replica, and how often that may be."""
+
+import collections
+
+from godwitflow.policy import budget
+from godwitflow.policy import calls
+from godwitflow.policy import latency
+from godwitflow.settings import config
+
+BURST = 10.0
+FULL_ROOM_AT = 0.5
+NO_ROOM_AT = 0.9
+
+
+class Hedging:
+    """Keeps calls in start order and says which of them are late.
+
+    A call is late once it takes longer than the set's recent quantile.
+    The budget is a share of primary work; ``room`` shrinks it to nothing
+    as slots fill, because a hedge then takes a slot from queued work.
+    """
+
+    def __init__(self, settings: config.Hedge) -> None:
+        self.settings = settings
+        self.budget = budget.ShareBudget(settings.budget_share, BURST)
+        self.quantile = latency.RecentQuantile(settings.quantile)
+        self._in_order: collections.deque[calls.Call] = collections.deque()
+
+    def apply(self, settings: config.Hedge) -> None:
+        """Take the settings of a newer configuration."""
+        self.settings = settings
+        self.budget.share = settings.budget_share
+        if self.quantile.quantile != settings.quantile:
+            self.quantile = latency.RecentQuantile(settings.quantile)
+
+    def track(self, call: calls.Call) -> None:
+        """Watch a call that has just started."""
+        self._in_order.append(call)
+
+    def delay_ms(self) -> float | None:
+        """Return after how long a call is late; None if not known yet."""
+        late_ms = self.quantile.value_ms()
+        if late_ms is None:
+            return None
+        return max(late_ms, self.settings.min_delay_ms)
+
+    def next_late_at_ms(self) -> float | None:
+        """Return when the oldest watched call turns late."""
+        delay_ms = self.delay_ms()
+        if not self._in_order or delay_ms is None:
+            return None
+        return self._in_order[0].started_at_ms + delay_ms
+
+    def late(self, now_ms: float) -> list[calls.Call]:
+        """Take out the calls that are late now and still wanted."""
+        delay_ms = self.delay_ms()
+        found: list[calls.Call] = []
+        while self._in_order and delay_ms is not None:
+            call = self._in_order[0]
+            wanted = not call.ended and call.open_jobs()
+            if wanted and now_ms - call.started_at_ms < delay_ms:
+                break
+            self._in_order.popleft()
+            if wanted:
+                found.append(call)
+        return found
+
+    @staticmethod
+    def room(busy_share: float) -> float:
+        """Return the share of the budget that load leaves, 0 to 1.
+
+        >>> Hedging.room(0.4), Hedging.room(0.95)
+        (1.0, 0.0)
+        """
+        room = (NO_ROOM_AT - busy_share) / (NO_ROOM_AT - FULL_ROOM_AT)
+        return min(1.0, max(0.0, room))
--- /dev/null
+++ b/packages/policy/src/godwitflow/policy/membership.py
@@ -0,0 +1,370 @@
+"""Who is in the fleet: random probes, suspicion, incarnations.
+
+Each period a node probes a few random members. One that does not
+acknowledge is probed through others, then suspected, and after a while
+counted dead unless it refutes with a higher incarnation. News rides on
+probes and acknowledgements, so the cost of a node does not depend on
+the size of the fleet; only the table does.
+"""
+
+import dataclasses
+import math
+import random
+import typing
+
+from godwitflow.model import ids
+from godwitflow.wire import messages
+
+PERIOD_MS = 500.0
+ACK_TIMEOUT_MS = 200.0
+INDIRECT_TIMEOUT_MS = 300.0
+SUSPICION_MS = 2_000.0
+DEAD_KEPT_MS = 60_000.0
+PAUSE_MS = 1_500.0
+PROBES_A_PERIOD = 1
+INDIRECT_PROBES = 3
+NEWS_A_MESSAGE = 8
+SPREAD_FACTOR = 3
+
+_STATES = messages.MemberState
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SendTo:
+    """Send a message to a member's inner address."""
+
+    node: ids.NodeId
+    inner: str
+    message: messages.Message
+
+
+@dataclasses.dataclass(slots=True)
+class Member:
+    """A row of the table; ``since_ms`` is when its state was learnt."""
+
+    update: messages.MemberUpdate
+    since_ms: float
+
+
+@dataclasses.dataclass(slots=True)
+class _Probe:
+    node: ids.NodeId
+    sent_at_ms: float
+    indirect: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class _Relay:
+    requester: ids.NodeId
+    inner: str
+    sequence: int
+    sent_at_ms: float
+
+
+class Membership:
+    """The member table of one node and the probes that keep it true."""
+
+    def __init__(self, me: messages.MemberUpdate, seed: int) -> None:
+        self.me = me
+        self.random = random.Random(seed)
+        self.members: dict[ids.NodeId, Member] = {}
+        self.changed = True
+        self.pauses = 0
+        self.digests: tuple[messages.Digest, ...] = ()
+        self._round: list[ids.NodeId] = []
+        self._news: dict[ids.NodeId, int] = {}
+        self._probes: dict[int, _Probe] = {}
+        self._relays: dict[int, _Relay] = {}
+        self._sequence = 0
+        self._last_tick_ms: float | None = None
+        self._next_period_ms = 0.0
+
+    # Reading ----------------------------------------------------------
+
+    def alive(self) -> list[messages.MemberUpdate]:
+        """Return the members that may be given work, self included."""
+        found = [
+            member.update
+            for member in self.members.values()
+            if member.update.state in (_STATES.ALIVE, _STATES.SUSPECT)
+        ]
+        if self.me.state is _STATES.ALIVE:
+            found.append(self.me)
+        return found
+
+    def find(self, node: ids.NodeId) -> messages.MemberUpdate | None:
+        """Return what is known of a member, self included."""
+        if node == self.me.node:
+            return self.me
+        member = self.members.get(node)
+        return member.update if member else None
+
+    def table(self) -> tuple[messages.MemberUpdate, ...]:
+        """Return every row, self included."""
+        rows = [member.update for member in self.members.values()]
+        return (self.me, *rows)
+
+    # Self -------------------------------------------------------------
+
+    def update_self(self, **changes: typing.Any) -> None:
+        """Change what this node says of itself, and spread it."""
+        before = self.me
+        self.me = _replace(before, **changes)
+        quiet = _replace(before, load=self.me.load) == self.me
+        if not quiet:
+            self._spread(self.me.node)
+            self.changed = True
+
+    def leave(self) -> None:
+        """Say that this node is leaving; it stays so."""
+        self.update_self(state=_STATES.LEAVING, joined=False)
+
+    # Time -------------------------------------------------------------
+
+    def tick(self, now_ms: float) -> list[SendTo]:
+        """Run what is due; call this a few times a period."""
+        self._notice_pause(now_ms)
+        actions = self._check_probes(now_ms)
+        self._check_suspects(now_ms)
+        if now_ms >= self._next_period_ms:
+            self._next_period_ms = now_ms + PERIOD_MS
+            for _ in range(PROBES_A_PERIOD):
+                actions += self._probe_next(now_ms)
+        return actions
+
+    def _notice_pause(self, now_ms: float) -> None:
+        """Forget what could not be heard while this process was paused.
+
+        A paused node missed acknowledgements that were sent, so neither
+        its outstanding probes nor its suspicions count against others.
+        """
+        last_ms = self._last_tick_ms
+        self._last_tick_ms = now_ms
+        if last_ms is None or now_ms - last_ms < PAUSE_MS:
+            return
+        self.pauses += 1
+        self._probes.clear()
+        self._relays.clear()
+        for member in self.members.values():
+            if member.update.state is _STATES.SUSPECT:
+                member.since_ms = now_ms
+
+    def _check_probes(self, now_ms: float) -> list[SendTo]:
+        actions: list[SendTo] = []
+        for sequence, probe in list(self._probes.items()):
+            waited_ms = now_ms - probe.sent_at_ms
+            if not probe.indirect and waited_ms >= ACK_TIMEOUT_MS:
+                probe.indirect = True
+                actions += self._probe_through(sequence, probe)
+            elif waited_ms >= ACK_TIMEOUT_MS + INDIRECT_TIMEOUT_MS:
+                del self._probes[sequence]
+                self._suspect(now_ms, probe.node)
+        for sequence, relay in list(self._relays.items()):
+            if now_ms - relay.sent_at_ms > INDIRECT_TIMEOUT_MS:
+                del self._relays[sequence]
+        return actions
+
+    def _probe_through(self, sequence: int, probe: _Probe) -> list[SendTo]:
+        others = [
+            member.update
+            for member in self._sample(INDIRECT_PROBES + 1)
+            if member.update.node != probe.node
+        ]
+        message = messages.ProbeVia(sequence, probe.node)
+        return [
+            SendTo(other.node, other.inner, message)
+            for other in others[:INDIRECT_PROBES]
+        ]
+
+    def _sample(self, count: int) -> list[Member]:
+        nodes = list(self.members)
+        chosen = self.random.sample(nodes, min(count * 2, len(nodes)))
+        rows = [self.members[node] for node in chosen]
+        return [row for row in rows if row.update.state < _STATES.DEAD][:count]
+
+    def _suspect(self, now_ms: float, node: ids.NodeId) -> None:
+        member = self.members.get(node)
+        if member is None:
+            return
+        if member.update.state is _STATES.ALIVE:
+            self._set_state(now_ms, member, _STATES.SUSPECT)
+        elif member.update.state is _STATES.LEAVING:
+            self._set_state(now_ms, member, _STATES.DEAD)
+
+    def _set_state(
+        self, now_ms: float, member: Member, state: messages.MemberState
+    ) -> None:
+        member.update = _replace(member.update, state=state)
+        member.since_ms = now_ms
+        self._spread(member.update.node)
+        self.changed = True
+
+    def _check_suspects(self, now_ms: float) -> None:
+        for node, member in list(self.members.items()):
+            state = member.update.state
+            age_ms = now_ms - member.since_ms
+            if state is _STATES.SUSPECT and age_ms > SUSPICION_MS:
+                self._set_state(now_ms, member, _STATES.DEAD)
+            elif state is _STATES.DEAD and age_ms > DEAD_KEPT_MS:
+                del self.members[node]
+                self._news.pop(node, None)
+
+    def _probe_next(self, now_ms: float) -> list[SendTo]:
+        """Probe the next member of a shuffled round over the table."""
+        while True:
+            if not self._round:
+                self._round = [
+                    node
+                    for node, member in self.members.items()
+                    if member.update.state is not _STATES.DEAD
+                ]
+                self.random.shuffle(self._round)
+            if not self._round:
+                return []
+            member = self.members.get(self._round.pop())
+            if member is not None and member.update.state < _STATES.DEAD:
+                return [self._probe(now_ms, member.update)]
+
+    def _probe(self, now_ms: float, update: messages.MemberUpdate) -> SendTo:
+        self._sequence += 1
+        self._probes[self._sequence] = _Probe(update.node, now_ms)
+        message = messages.Probe(
+            self._sequence, self._take_news(), self.digests
+        )
+        return SendTo(update.node, update.inner, message)
+
+    # Messages ---------------------------------------------------------
+
+    def on_probe(
+        self,
+        now_ms: float,
+        sender: ids.NodeId,
+        inner: str,
+        probe: messages.Probe,
+    ) -> list[SendTo]:
+        """Acknowledge a probe and take its news."""
+        self.merge(now_ms, probe.updates)
+        ack = messages.ProbeAck(
+            probe.sequence, self._take_news(), self.digests
+        )
+        return [SendTo(sender, inner, ack)]
+
+    def on_ack(self, now_ms: float, ack: messages.ProbeAck) -> list[SendTo]:
+        """Take an acknowledgement, passing on one asked for by a peer."""
+        self.merge(now_ms, ack.updates)
+        self._probes.pop(ack.sequence, None)
+        relay = self._relays.pop(ack.sequence, None)
+        if relay is None:
+            return []
+        passed = messages.ProbeAck(relay.sequence)
+        return [SendTo(relay.requester, relay.inner, passed)]
+
+    def on_probe_via(
+        self,
+        now_ms: float,
+        sender: ids.NodeId,
+        inner: str,
+        request: messages.ProbeVia,
+    ) -> list[SendTo]:
+        """Probe a member for a peer that cannot reach it."""
+        target = self.find(request.target)
+        if target is None or target.node == self.me.node:
+            return []
+        self._sequence += 1
+        self._relays[self._sequence] = _Relay(
+            sender, inner, request.sequence, now_ms
+        )
+        probe = messages.Probe(self._sequence, self._take_news())
+        return [SendTo(target.node, target.inner, probe)]
+
+    def merge(
+        self, now_ms: float, updates: typing.Iterable[messages.MemberUpdate]
+    ) -> None:
+        """Take news of members; the higher incarnation wins."""
+        for update in updates:
+            if update.node == self.me.node:
+                self._refute(update)
+            else:
+                self._merge_one(now_ms, update)
+
+    def _refute(self, update: messages.MemberUpdate) -> None:
+        """Overrule peers that think badly, or old things, of this node."""
+        mine = (self.me.incarnation, self.me.state)
+        if (update.incarnation, update.state) <= mine:
+            return
+        self.update_self(incarnation=update.incarnation + 1)
+
+    def _merge_one(self, now_ms: float, update: messages.MemberUpdate) -> None:
+        member = self.members.get(update.node)
+        if member is None:
+            if update.state is _STATES.DEAD:
+                return
+            self.members[update.node] = Member(update, now_ms)
+            place = self.random.randint(0, len(self._round))
+            self._round.insert(place, update.node)
+        elif not _newer(update, member.update):
+            if _same(update, member.update):
+                member.update = _replace(member.update, load=update.load)
+            return
+        else:
+            member.update = update
+            member.since_ms = now_ms
+        self._spread(update.node)
+        self.changed = True
+
+    def add_roster(
+        self, now_ms: float, updates: typing.Iterable[messages.MemberUpdate]
+    ) -> None:
+        """Add VMs of the platform's list that are not known yet.
+
+        The list lags, so it never overrules what peers say.
+        """
+        for update in updates:
+            known = update.node in self.members
+            if not known and update.node != self.me.node:
+                self._merge_one(now_ms, update)
+
+    # News -------------------------------------------------------------
+
+    def _spread(self, node: ids.NodeId) -> None:
+        size = len(self.members) + 2
+        self._news[node] = SPREAD_FACTOR * math.ceil(math.log2(size))
+
+    def _take_news(self) -> tuple[messages.MemberUpdate, ...]:
+        """Return this node's own row and the freshest news."""
+        rows = [self.me]
+        if self._news:
+            fresh = sorted(
+                self._news, key=self._news.__getitem__, reverse=True
+            )
+            for node in fresh[:NEWS_A_MESSAGE]:
+                self._count_down(node)
+                update = self.find(node)
+                if update is not None and node != self.me.node:
+                    rows.append(update)
+        return tuple(rows)
+
+    def _count_down(self, node: ids.NodeId) -> None:
+        self._news[node] -= 1
+        if self._news[node] <= 0:
+            del self._news[node]
+
+
+def _replace(
+    update: messages.MemberUpdate, **changes: typing.Any
+) -> messages.MemberUpdate:
+    fields = {name: getattr(update, name) for name in update.__struct_fields__}
+    return messages.MemberUpdate(**{**fields, **changes})
+
+
+def _newer(
+    update: messages.MemberUpdate, known: messages.MemberUpdate
+) -> bool:
+    fresh = (update.incarnation, update.state, update.joined)
+    held = (known.incarnation, known.state, known.joined)
+    return fresh > held
+
+
+def _same(update: messages.MemberUpdate, known: messages.MemberUpdate) -> bool:
+    fresh = (update.incarnation, update.state)
+    return fresh == (known.incarnation, known.state)
--- /dev/null
+++ b/packages/settings/src/godwitflow/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration folders and process settings, checked and merged."""
--- /dev/null
+++ b/packages/settings/src/godwitflow/settings/config.py
@@ -0,0 +1,286 @@
+"""The configuration of the whole system, as the folder states it.
+
+services:
+  seats:
+    index: index/seats
+    priorities:
+      steward: {rank: 0, target_ms: 120, deadline_ms: 600}
+"""
+
+import dataclasses
+
+from godwitflow.model import errors
+from godwitflow.model import ids
+from godwitflow.settings import documents
+from godwitflow.settings import folder
+from godwitflow.settings import problems
+from godwitflow.settings import schema
+
+MAX_DEADLINE_MS = 600_000
+
+
+@dataclasses.dataclass(frozen=True)
+class Priority:
+    """One class of work; rank 0 is the most urgent.
+
+    ``floor_share`` is the share of slots that the class keeps while
+    others flood. ``worth`` weighs its answers in reports.
+    """
+
+    rank: int
+    target_ms: float
+    deadline_ms: float
+    floor_share: float = 0.0
+    worth: float = 1.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Hedge:
+    """When a slow piece is sent to a second replica, and how often."""
+
+    budget_share: float = 0.03
+    quantile: float = 0.95
+    min_delay_ms: float = 5.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Service:
+    """A query service over the shards of one index object."""
+
+    index: str
+    priorities: dict[str, Priority]
+    default_priority: str = ""
+    slots: int = 2
+    connection_cap: int = 25
+    batch_size: int = 1
+    batch_window_ms: float = 0.0
+    call_timeout_ms: float = 2_000.0
+    retry_budget_share: float = 0.1
+    canary: bool = True
+    max_body_bytes: int = 65_536
+    hedge: Hedge = Hedge()
+
+    def priority(self, name: str) -> tuple[ids.Rank, Priority] | None:
+        """Return a priority's rank and settings, or None if unknown.
+
+        An empty name stands for the default, which is the least urgent
+        where ``default_priority`` is not set.
+        """
+        chosen = name or self.default_priority or self.names[-1]
+        found = self.priorities.get(chosen)
+        if found is None:
+            return None
+        return ids.Rank(self.names.index(chosen)), found
+
+    @property
+    def names(self) -> list[str]:
+        """The priorities' names, the most urgent first."""
+        by_rank = self.priorities.items()
+        return [name for name, _ in sorted(by_rank, key=_rank_of)]
+
+    @property
+    def floors(self) -> tuple[float, ...]:
+        """The floor share of each rank, the most urgent first."""
+        return tuple(self.priorities[name].floor_share for name in self.names)
+
+
+def _rank_of(item: tuple[str, Priority]) -> int:
+    return item[1].rank
+
+
+@dataclasses.dataclass(frozen=True)
+class Addresses:
+    """How callers are told which addresses to use."""
+
+    count: int = 3
+    max_age_ms: float = 5_000.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Journal:
+    """The journal of request keys that makes a request run once."""
+
+    partitions: int = 16
+    retention_ms: float = 600_000.0
+    commit_interval_ms: float = 50.0
+    claim_timeout_ms: float = 1_500.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Config:
+    """Everything that one accepted generation says."""
+
+    services: dict[str, Service]
+    addresses: Addresses = Addresses()
+    journal: Journal = Journal()
+
+
+_MS = schema.Number(0, MAX_DEADLINE_MS)
+_SHARE = schema.Number(0, 1)
+_NAME = schema.Text(schema.NAME_PATTERN, "a name of a-z, 0-9, '_', '.', '-'")
+_OBJECT = schema.Text(r"[a-zA-Z0-9._/-]{1,200}", "an object name")
+
+PRIORITY = schema.Table(
+    Priority,
+    (
+        schema.Field("rank", schema.Number(0, 15, integer=True)),
+        schema.Field("target_ms", schema.Number(1, MAX_DEADLINE_MS)),
+        schema.Field("deadline_ms", schema.Number(1, MAX_DEADLINE_MS)),
+        schema.Field("floor_share", _SHARE, 0.0),
+        schema.Field("worth", schema.Number(0, 1e6), 1.0),
+    ),
+)
+
+HEDGE = schema.Table(
+    Hedge,
+    (
+        schema.Field("budget_share", schema.Number(0, 0.5), 0.03),
+        schema.Field("quantile", schema.Number(0.5, 0.9999), 0.95),
+        schema.Field("min_delay_ms", _MS, 5.0),
+    ),
+)
+
+SERVICE = schema.Table(
+    Service,
+    (
+        schema.Field("index", _OBJECT),
+        schema.Field("priorities", schema.TableOf(PRIORITY)),
+        schema.Field("default_priority", _NAME, ""),
+        schema.Field("slots", schema.Number(1, 1000, integer=True), 2),
+        schema.Field(
+            "connection_cap", schema.Number(2, 10_000, integer=True), 25
+        ),
+        schema.Field("batch_size", schema.Number(1, 1000, integer=True), 1),
+        schema.Field("batch_window_ms", schema.Number(0, 1000), 0.0),
+        schema.Field(
+            "call_timeout_ms", schema.Number(1, MAX_DEADLINE_MS), 2_000.0
+        ),
+        schema.Field("retry_budget_share", _SHARE, 0.1),
+        schema.Field("canary", schema.Flag(), True),
+        schema.Field(
+            "max_body_bytes",
+            schema.Number(64, 1_000_000, integer=True),
+            65_536,
+        ),
+        schema.Field("hedge", HEDGE, Hedge()),
+    ),
+)
+
+ADDRESSES = schema.Table(
+    Addresses,
+    (
+        schema.Field("count", schema.Number(1, 20, integer=True), 3),
+        schema.Field("max_age_ms", schema.Number(100, 600_000), 5_000.0),
+    ),
+)
+
+JOURNAL = schema.Table(
+    Journal,
+    (
+        schema.Field("partitions", schema.Number(1, 256, integer=True), 16),
+        schema.Field(
+            "retention_ms", schema.Number(1_000, 86_400_000), 600_000.0
+        ),
+        schema.Field("commit_interval_ms", schema.Number(0, 10_000), 50.0),
+        schema.Field("claim_timeout_ms", schema.Number(10, 60_000), 1_500.0),
+    ),
+)
+
+CONFIG = schema.Table(
+    Config,
+    (
+        schema.Field("services", schema.TableOf(SERVICE)),
+        schema.Field("addresses", ADDRESSES, Addresses()),
+        schema.Field("journal", JOURNAL, Journal()),
+    ),
+)
+
+
+def parse(files: tuple[folder.File, ...]) -> Config:
+    """Merge and check the files of a folder.
+
+    Raises :class:`errors.SettingsError` with all problems at once.
+    """
+    merged, found = folder.merge(files)
+    checker = schema.Checker()
+    config = checker.check(merged, CONFIG, "")
+    if isinstance(config, Config):
+        _check_services(checker, merged, config)
+    every = tuple(found) + tuple(checker.found)
+    if every:
+        raise errors.SettingsError(_sorted(every))
+    return config
+
+
+def _sorted(
+    found: tuple[problems.Problem, ...],
+) -> tuple[problems.Problem, ...]:
+    def order(problem: problems.Problem) -> tuple[str, int, str]:
+        return problem.place.file, problem.place.line, problem.key_path
+
+    return tuple(sorted(found, key=order))
+
+
+def _check_services(
+    checker: schema.Checker, merged: documents.Mapping, config: Config
+) -> None:
+    tables = merged.items["services"]
+    assert isinstance(tables, documents.Mapping)
+    for name, service in config.services.items():
+        node = tables.items[name]
+        path = f"services.{name}"
+        _check_service(checker, node, path, service)
+
+
+def _check_service(
+    checker: schema.Checker,
+    node: documents.Node,
+    path: str,
+    service: Service,
+) -> None:
+    def report(key: str, found: str, allowed: str) -> None:
+        place = node
+        if isinstance(node, documents.Mapping):
+            place = node.items.get(key, node)
+        checker.report(place, f"{path}.{key}", found, allowed)
+
+    ranks = [item.rank for item in service.priorities.values()]
+    if not ranks:
+        report("priorities", "none", "one priority or more")
+        return
+    if len(set(ranks)) != len(ranks):
+        report("priorities", "one rank twice", "a rank for each priority")
+    if sum(service.floors) > 0.9:
+        total = f"floor shares that add up to {sum(service.floors):g}"
+        report("priorities", total, "at most 0.9")
+    for name, priority in service.priorities.items():
+        if priority.deadline_ms < priority.target_ms:
+            found = f"{name}: deadline_ms below target_ms"
+            report("priorities", found, "deadline_ms >= target_ms")
+    default = service.default_priority
+    if default and default not in service.priorities:
+        allowed = "one of " + ", ".join(service.names)
+        report("default_priority", repr(default), allowed)
+
+
+def origins(files: tuple[folder.File, ...]) -> list[tuple[str, str, str]]:
+    """List each value as (key path, value, place it was set at)."""
+    merged, _ = folder.merge(files)
+    rows: list[tuple[str, str, str]] = []
+    _collect(merged, "", rows)
+    return rows
+
+
+def _collect(
+    node: documents.Node, path: str, rows: list[tuple[str, str, str]]
+) -> None:
+    match node:
+        case documents.Mapping():
+            for key, child in node.items.items():
+                _collect(child, schema.join(path, key), rows)
+        case documents.Sequence():
+            for number, child in enumerate(node.items):
+                _collect(child, f"{path}[{number}]", rows)
+        case documents.Scalar():
+            text = schema.describe(node)
+            rows.append((path, text, str(node.place)))
--- /dev/null
+++ b/packages/settings/src/godwitflow/settings/folder.py
@@ -0,0 +1,99 @@
+"""A folder of small YAML files, merged in the order of their names."""
+
+import dataclasses
+import hashlib
+import pathlib
+
+from godwitflow.model import errors
+from godwitflow.settings import documents
+from godwitflow.settings import problems
+
+SUFFIXES = (".yaml", ".yml")
+MAX_FILE_BYTES = 1_000_000
+MAX_FILES = 2_000
+
+
+@dataclasses.dataclass(frozen=True)
+class File:
+    """A configuration file's name and content, byte for byte."""
+
+    name: str
+    content: bytes
+
+    @property
+    def sha256(self) -> str:
+        """The content's hash in hexadecimal."""
+        return hashlib.sha256(self.content).hexdigest()
+
+
+def read(path: pathlib.Path) -> tuple[File, ...]:
+    """Read the folder's YAML files in name order.
+
+    Raises :class:`errors.SettingsError` where the folder cannot be read,
+    is empty, or holds a file too large for one object of the store.
+    """
+    try:
+        entries = sorted(path.iterdir(), key=lambda entry: entry.name)
+        chosen = [
+            entry
+            for entry in entries
+            if entry.is_file() and entry.suffix in SUFFIXES
+        ]
+        files = tuple(File(item.name, item.read_bytes()) for item in chosen)
+    except OSError as error:
+        place = problems.Place(str(path))
+        problem = problems.Problem(place, "", str(error), "a folder")
+        raise errors.SettingsError((problem,)) from error
+    _check_sizes(path, files)
+    return files
+
+
+def _check_sizes(path: pathlib.Path, files: tuple[File, ...]) -> None:
+    found = []
+    if not 1 <= len(files) <= MAX_FILES:
+        allowed = f"1 to {MAX_FILES} files that end in .yaml or .yml"
+        place = problems.Place(str(path))
+        count = f"{len(files)} files"
+        found.append(problems.Problem(place, "", count, allowed))
+    for file in files:
+        if len(file.content) > MAX_FILE_BYTES:
+            place = problems.Place(file.name)
+            size = f"{len(file.content)} bytes"
+            allowed = f"at most {MAX_FILE_BYTES} bytes; split the file"
+            found.append(problems.Problem(place, "", size, allowed))
+    if found:
+        raise errors.SettingsError(tuple(found))
+
+
+def merge(
+    files: tuple[File, ...],
+) -> tuple[documents.Mapping, tuple[problems.Problem, ...]]:
+    """Merge files; a later file's scalar or sequence replaces an earlier.
+
+    Mappings merge key by key. Each value keeps the place it was read
+    from, which is its origin.
+    """
+    place = problems.Place(files[0].name if files else "")
+    merged = documents.Mapping(place, {}, {})
+    found: list[problems.Problem] = []
+    for file in files:
+        tree, problems_found = documents.read(file.name, file.content)
+        found.extend(problems_found)
+        merged = _overlay(merged, tree)
+    return merged, tuple(found)
+
+
+def _overlay(
+    lower: documents.Mapping, upper: documents.Mapping
+) -> documents.Mapping:
+    items = dict(lower.items)
+    places = dict(lower.key_places)
+    for key, value in upper.items.items():
+        below = items.get(key)
+        both = isinstance(below, documents.Mapping)
+        if both and isinstance(value, documents.Mapping):
+            items[key] = _overlay(below, value)  # type: ignore[arg-type]
+            continue
+        items[key] = value
+        places[key] = upper.key_places[key]
+    return documents.Mapping(upper.place, items, places)
--- /dev/null
+++ b/packages/settings/src/godwitflow/settings/schema.py
@@ -0,0 +1,210 @@
+"""Specifications of settings, and the check of a tree against one."""
+
+import dataclasses
+import re
+import typing
+
+from godwitflow.settings import documents
+from godwitflow.settings import problems
+
+REQUIRED = object()
+"""The default of a field that has none."""
+
+NAME_PATTERN = r"[a-z0-9][a-z0-9_.-]{0,62}"
+
+
+@dataclasses.dataclass(frozen=True)
+class Number:
+    """A finite number from ``low`` to ``high``, both allowed."""
+
+    low: float
+    high: float
+    integer: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class Text:
+    """A string that a pattern matches; ``allowed`` says it in words."""
+
+    pattern: str
+    allowed: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Flag:
+    """True or false."""
+
+
+@dataclasses.dataclass(frozen=True)
+class ListOf:
+    """A sequence whose items all meet one specification."""
+
+    item: "Spec"
+
+
+@dataclasses.dataclass(frozen=True)
+class TableOf:
+    """A mapping from names to values of one specification."""
+
+    value: "Spec"
+
+
+@dataclasses.dataclass(frozen=True)
+class Field:
+    """A named field of a table."""
+
+    name: str
+    spec: "Spec"
+    default: object = REQUIRED
+
+
+@dataclasses.dataclass(frozen=True)
+class Table:
+    """A mapping with known keys, built into ``build``."""
+
+    build: typing.Callable[..., object]
+    fields: tuple[Field, ...]
+
+
+Spec = Number | Text | Flag | ListOf | TableOf | Table
+
+
+class Checker:
+    """Checks a tree and collects every problem on the way."""
+
+    def __init__(self) -> None:
+        self.found: list[problems.Problem] = []
+
+    def report(
+        self, node: documents.Node, path: str, found: str, allowed: str
+    ) -> None:
+        """Record one problem at a node's place."""
+        problem = problems.Problem(node.place, path, found, allowed)
+        self.found.append(problem)
+
+    def check(self, node: documents.Node, spec: Spec, path: str) -> typing.Any:
+        """Return the value that a node gives, or None with a problem."""
+        match spec:
+            case Number():
+                return self._number(node, spec, path)
+            case Text():
+                return self._text(node, spec, path)
+            case Flag():
+                return self._flag(node, path)
+            case ListOf():
+                return self._list(node, spec, path)
+            case TableOf():
+                return self._table_of(node, spec, path)
+            case Table():
+                return self._table(node, spec, path)
+
+    def _number(
+        self, node: documents.Node, spec: Number, path: str
+    ) -> float | int | None:
+        kind = "a whole number" if spec.integer else "a number"
+        allowed = f"{kind} from {spec.low:g} to {spec.high:g}"
+        value = node.value if isinstance(node, documents.Scalar) else None
+        wanted = int if spec.integer else (int, float)
+        is_number = isinstance(value, wanted) and not isinstance(value, bool)
+        if is_number and spec.low <= value <= spec.high:  # type: ignore
+            return value  # type: ignore[return-value]
+        self.report(node, path, describe(node), allowed)
+        return None
+
+    def _text(self, node: documents.Node, spec: Text, path: str) -> str | None:
+        value = node.value if isinstance(node, documents.Scalar) else None
+        if isinstance(value, str) and re.fullmatch(spec.pattern, value):
+            return value
+        self.report(node, path, describe(node), spec.allowed)
+        return None
+
+    def _flag(self, node: documents.Node, path: str) -> bool | None:
+        value = node.value if isinstance(node, documents.Scalar) else None
+        if isinstance(value, bool):
+            return value
+        self.report(node, path, describe(node), "true or false")
+        return None
+
+    def _list(
+        self, node: documents.Node, spec: ListOf, path: str
+    ) -> tuple | None:
+        if not isinstance(node, documents.Sequence):
+            self.report(node, path, describe(node), "a sequence")
+            return None
+        return tuple(
+            self.check(item, spec.item, f"{path}[{number}]")
+            for number, item in enumerate(node.items)
+        )
+
+    def _table_of(
+        self, node: documents.Node, spec: TableOf, path: str
+    ) -> dict | None:
+        if not isinstance(node, documents.Mapping):
+            self.report(node, path, describe(node), "a mapping of names")
+            return None
+        values = {}
+        for key, child in node.items.items():
+            child_path = join(path, key)
+            if not re.fullmatch(NAME_PATTERN, key):
+                allowed = "a name of a-z, 0-9, '_', '.', '-'"
+                self.report(child, child_path, repr(key), allowed)
+                continue
+            values[key] = self.check(child, spec.value, child_path)
+        return values
+
+    def _table(
+        self, node: documents.Node, spec: Table, path: str
+    ) -> object | None:
+        if not isinstance(node, documents.Mapping):
+            self.report(node, path, describe(node), "a mapping")
+            return None
+        before = len(self.found)
+        self._refuse_unknown(node, spec, path)
+        values = {}
+        for field in spec.fields:
+            child = node.items.get(field.name)
+            child_path = join(path, field.name)
+            if child is not None:
+                values[field.name] = self.check(child, field.spec, child_path)
+            elif field.default is REQUIRED:
+                self.report(node, child_path, "nothing", "a value; required")
+            else:
+                values[field.name] = field.default
+        if len(self.found) > before:
+            return None
+        return spec.build(**values)
+
+    def _refuse_unknown(
+        self, node: documents.Mapping, spec: Table, path: str
+    ) -> None:
+        known = {field.name for field in spec.fields}
+        for key in node.items:
+            if key in known:
+                continue
+            place = node.key_places[key]
+            allowed = "one of " + ", ".join(sorted(known))
+            key_path = join(path, key)
+            problem = problems.Problem(
+                place, key_path, "an unknown key", allowed
+            )
+            self.found.append(problem)
+
+
+def join(path: str, key: str) -> str:
+    """Extend a key path by one key."""
+    return f"{path}.{key}" if path else key
+
+
+def describe(node: documents.Node) -> str:
+    """Say in a few words what a node holds."""
+    match node:
+        case documents.Mapping():
+            return "a mapping"
+        case documents.Sequence():
+            return "a sequence"
+        case documents.Scalar(value=None):
+            return "null"
+        case documents.Scalar(value=str() as text):
+            return repr(text if len(text) <= 60 else text[:60] + "...")
+        case documents.Scalar(value=value):
+            return str(value).lower() if value is True else str(value)
--- /dev/null
+++ b/packages/upstream/src/godwitflow/upstream/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the upstreams that hold the shards."""
--- /dev/null
+++ b/packages/wire/src/godwitflow/wire/__init__.py
@@ -0,0 +1,1 @@
+"""The protocol between godwitflow's own processes."""
--- /dev/null
+++ b/packages/wire/src/godwitflow/wire/codec.py
@@ -0,0 +1,86 @@
+"""Envelopes of the inner protocol as MessagePack bytes."""
+
+import dataclasses
+
+import msgspec
+
+from godwitflow.model import errors
+from godwitflow.model import ids
+from godwitflow.wire import messages
+
+VERSION = 1
+MAX_ENVELOPE_BYTES = 8_000_000
+
+
+class Header(msgspec.Struct, frozen=True, array_like=True):
+    """Who sent an envelope, and where its answers go."""
+
+    version: int
+    sender: ids.NodeId
+    incarnation: int
+    inner: str
+
+
+class _Envelope(msgspec.Struct, frozen=True, array_like=True):
+    header: Header
+    messages: list[messages.Message]
+
+
+class _RawEnvelope(msgspec.Struct, frozen=True, array_like=True):
+    header: Header
+    messages: list[msgspec.Raw]
+
+
+@dataclasses.dataclass(frozen=True)
+class Received:
+    """A decoded envelope; ``rejected`` counts messages not understood."""
+
+    header: Header
+    messages: list[messages.Message]
+    rejected: int = 0
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(_Envelope)
+_raw_decoder = msgspec.msgpack.Decoder(_RawEnvelope)
+_message_decoder = msgspec.msgpack.Decoder(messages.Message)
+
+
+def encode(header: Header, batch: list[messages.Message]) -> bytes:
+    """Encode a batch of messages under one header."""
+    return _encoder.encode(_Envelope(header, batch))
+
+
+def decode(raw: bytes) -> Received:
+    """Decode an envelope.
+
+    A message of an unknown kind or shape is counted and left out, so
+    that a newer peer's other messages still arrive. Raises
+    :class:`errors.CodecError` where the envelope itself is no good.
+    """
+    if len(raw) > MAX_ENVELOPE_BYTES:
+        raise errors.CodecError(f"envelope of {len(raw)} bytes")
+    try:
+        envelope = _decoder.decode(raw)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
+        return _decode_each(raw)
+    return Received(envelope.header, envelope.messages)
+
+
+def _decode_each(raw: bytes) -> Received:
+    try:
+        envelope = _raw_decoder.decode(raw)
+    except (
+        msgspec.MsgspecError,
+        UnicodeDecodeError,
+        RecursionError,
+    ) as error:
+        raise errors.CodecError(f"bad envelope: {error}") from error
+    batch = []
+    rejected = 0
+    for item in envelope.messages:
+        try:
+            batch.append(_message_decoder.decode(item))
+        except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
+            rejected += 1
+    return Received(envelope.header, batch, rejected)
