--- a/packages/daemon/src/godwitflow/daemon/front.py
+++ b/packages/daemon/src/godwitflow/daemon/front.py
@@ -219,7 +219,7 @@
         query = pinned.query
         fingerprint = queries.fingerprint(query)
         canary = (
-            pinned.service.canary
+            pinned.rank >= pinned.service.canary_from_rank
             and query.shard_key is None
             and not self.known_good.contains(fingerprint)
         )
--- /dev/null
+++ b/packages/lab/src/godwitflow/lab/variant_naive.py
@@ -0,0 +1,199 @@
+"""The naive version: round robin, first come first served, retry twice.
+
+No admission, no priorities, no hedge, no cancellation. Each front has
+its share of the connection cap and waits for all shards.
+"""
+
+import collections
+import dataclasses
+import itertools
+import typing
+
+import msgspec
+
+from godwitflow.lab import arrivals
+from godwitflow.lab import model_network
+from godwitflow.lab import world as world_module
+from godwitflow.model import answers
+from godwitflow.model import ids
+from godwitflow.model import index as index_model
+from godwitflow.policy import jobs
+
+RETRIES = 2
+CALL_TIMEOUT_MS = 2_000.0
+RETRY_DELAY_MS = 5.0
+
+
+@dataclasses.dataclass(eq=False)
+class _Query:
+    arrival: arrivals.Arrival
+    index: index_model.Index
+    rows: dict[str, bytes]
+    left: int
+    done: bool = False
+
+
+@dataclasses.dataclass(eq=False)
+class _Piece:
+    query: _Query
+    job: jobs.Job
+    tries: int = 0
+
+
+class _Front:
+    def __init__(self, naive: "Naive") -> None:
+        world = naive.world
+        cap = world.shape.upstream.connection_cap // world_module.FRONTS
+        self.network = model_network.ModelNetwork(
+            world.clock,
+            world.upstreams,
+            world.shape.upstream.connect_ms,
+            max(1, cap),
+            careful=False,
+        )
+        self.turn: collections.Counter[str] = collections.Counter()
+        self.waiting: dict[str, collections.deque[_Piece]] = (
+            collections.defaultdict(collections.deque)
+        )
+        self.in_flight: collections.Counter[str] = collections.Counter()
+
+
+class Naive:
+    """Nine fronts that know nothing of each other."""
+
+    def __init__(self, world: world_module.World) -> None:
+        self.world = world
+        self.clock = world.clock
+        self.piece_ids = itertools.count(1)
+        self.fronts = [_Front(self) for _ in range(world_module.FRONTS)]
+        world.network = self
+        world.on_index = self._on_index
+        self.index = world.index
+
+    def silence(self, share: float, source: typing.Any) -> None:
+        """Let a share of each front's open connections go silent."""
+        for front in self.fronts:
+            front.network.silence(share, source)
+
+    def _on_index(self, index: index_model.Index) -> None:
+        self.index = index
+
+    def submit(self, arrival: arrivals.Arrival) -> None:
+        """Scatter a query at once."""
+        front = self.world.random.choice(self.fronts)
+        index = self.index
+        query = _Query(arrival, index, {}, len(index.shards))
+        self.world.pieces += len(index.shards)
+        for shard, set_id in index.shards.items():
+            job = self._job(arrival, index, shard)
+            piece = _Piece(query, job)
+            self._route(front, piece, set_id)
+        self.clock.after(arrival.deadline_ms, self._finish, query)
+
+    def _job(
+        self,
+        arrival: arrivals.Arrival,
+        index: index_model.Index,
+        shard: ids.ShardId,
+    ) -> jobs.Job:
+        return jobs.Job(
+            "naive",
+            ids.PieceId(next(self.piece_ids)),
+            str(arrival.number),
+            index.service,
+            shard,
+            index.snapshot,
+            arrival.rank,
+            arrival.at_ms + arrival.deadline_ms,
+            0,
+            True,
+            False,
+            ids.Fingerprint(0),
+            b"1",
+        )
+
+    def _route(self, front: _Front, piece: _Piece, set_id: str) -> None:
+        members = piece.query.index.replica_sets[ids.ReplicaSetId(set_id)]
+        front.turn[set_id] += 1
+        upstream = members[front.turn[set_id] % len(members)]
+        front.waiting[upstream].append(piece)
+        self._send(front, upstream, set_id)
+
+    def _send(
+        self, front: _Front, upstream: ids.UpstreamId, set_id: str
+    ) -> None:
+        queue = front.waiting[upstream]
+        while queue and front.in_flight[upstream] < front.network.cap:
+            self._call(front, upstream, set_id, queue.popleft())
+
+    def _call(
+        self,
+        front: _Front,
+        upstream: ids.UpstreamId,
+        set_id: str,
+        piece: _Piece,
+    ) -> None:
+        front.in_flight[upstream] += 1
+        self.world.calls += 1
+
+        def done(result: jobs.CallResult) -> None:
+            front.in_flight[upstream] -= 1
+            self._on_result(front, set_id, piece, result)
+            self._send(front, upstream, set_id)
+
+        front.network.call(
+            upstream,
+            (piece.job,),
+            CALL_TIMEOUT_MS,
+            piece.query.arrival.crashing,
+            done,
+        )
+
+    def _on_result(
+        self,
+        front: _Front,
+        set_id: str,
+        piece: _Piece,
+        result: jobs.CallResult,
+    ) -> None:
+        match result:
+            case jobs.CallDone(items=(jobs.ItemOk(rows=rows),)):
+                piece.query.rows[piece.job.shard] = rows
+                self._settle(piece.query)
+            case _ if piece.tries < RETRIES:
+                piece.tries += 1
+                self.clock.after(
+                    RETRY_DELAY_MS, self._route, front, piece, set_id
+                )
+            case _:
+                self._settle(piece.query)
+
+    def _settle(self, query: _Query) -> None:
+        query.left -= 1
+        if query.left == 0:
+            self._finish(query)
+
+    def _finish(self, query: _Query) -> None:
+        if query.done:
+            return
+        query.done = True
+        total = len(query.index.shards)
+        if not query.rows:
+            refusal = answers.Refusal(
+                answers.RefusalCode.FAILED, answers.Ran.UNKNOWN, ""
+            )
+            self.world.finish(query.arrival, refusal)
+            return
+        missing = tuple(
+            shard for shard in query.index.shards if shard not in query.rows
+        )
+        answer = answers.Answer(
+            str(query.arrival.number),
+            "",
+            query.index.service,
+            query.index.snapshot,
+            answers.Coverage(total - len(missing), total, missing),
+            msgspec.Raw(answers.join_rows(list(query.rows.values()))),
+            answers.Timing(),
+        )
+        self.world.finish(query.arrival, answer)
--- /dev/null
+++ b/packages/platform/tests/test_changes.py
@@ -0,0 +1,138 @@
+"""Tests of applying configuration to the store."""
+
+from twisted.internet import defer
+from twisted.internet import task
+from twisted.trial import unittest
+
+from godwitflow.model import errors
+from godwitflow.platform import changes
+from godwitflow.platform import memory
+from godwitflow.settings import accepted
+from godwitflow.settings import folder
+
+BASE = b"""\
+services:
+  seats:
+    index: index/seats
+    priorities: {steward: {rank: 0, target_ms: 1, deadline_ms: 600}}
+"""
+
+
+def files(slots, name="10.yaml"):
+    extra = b"services: {seats: {slots: %d}}\n" % slots
+    return (folder.File("00.yaml", BASE), folder.File(name, extra))
+
+
+class FaultyStore(memory.MemoryStore):
+    """A store whose puts of the head can go wrong once."""
+
+    def __init__(self):
+        super().__init__(task.Clock())
+        self.before_head = None
+        self.fault = None
+
+    async def put(self, name, value, version):
+        if name != accepted.HEAD_NAME:
+            return await super().put(name, value, version)
+        before, self.before_head = self.before_head, None
+        if before is not None:
+            await before()
+        fault, self.fault = self.fault, None
+        if fault == "lost before":
+            raise errors.StoreOutcomeUnknownError(name)
+        applied = await super().put(name, value, version)
+        if fault == "lost after":
+            raise errors.StoreOutcomeUnknownError(name)
+        if fault is not None:
+            await fault()
+            raise errors.StoreOutcomeUnknownError(name)
+        return applied
+
+
+class ApplyTest(unittest.SynchronousTestCase):
+    def setUp(self):
+        self.store = FaultyStore()
+        first = self.apply(files(1))
+        self.assertEqual(1, first.generation)
+
+    def start(self, *args, **kwargs):
+        work = changes.apply(self.store, *args, **kwargs)
+        return defer.ensureDeferred(work)
+
+    def apply(self, given, author="ana", **kwargs):
+        return self.successResultOf(self.start(given, author, **kwargs))
+
+    def head(self):
+        work = changes.read_head(self.store)
+        return self.successResultOf(defer.ensureDeferred(work))[0]
+
+    def test_accepted_files_are_read_back_byte_for_byte(self):
+        work = changes.read(self.store)
+        found = self.successResultOf(defer.ensureDeferred(work))
+        self.assertEqual(files(1), found.files)
+
+    def test_of_two_racing_applies_one_wins(self):
+        async def rival():
+            await changes.apply(self.store, files(3), "ben")
+
+        self.store.before_head = rival
+        failure = self.failureResultOf(self.start(files(2), "ana"))
+        self.assertEqual(("10.yaml",), failure.value.clashing)
+        self.assertEqual((2, "ben"), (self.head().generation, "ben"))
+
+    def test_lost_answer_of_an_applied_change(self):
+        self.store.fault = "lost after"
+        done = self.apply(files(2))
+        self.assertEqual((2, True), (done.generation, done.settled))
+        self.assertEqual(2, self.head().generation)
+
+    def test_lost_answer_of_a_change_not_applied(self):
+        self.store.fault = "lost before"
+        done = self.apply(files(2))
+        self.assertEqual(2, done.generation)
+        self.assertEqual(2, self.head().generation)
+
+    def test_lost_answer_with_another_change_on_top(self):
+        async def rival():
+            await changes.apply(self.store, files(9), "ben")
+
+        self.store.fault = rival
+        done = self.apply(files(2))
+        self.assertEqual((2, True), (done.generation, done.settled))
+        self.assertEqual(3, self.head().generation)
+
+    def test_stale_generation_is_a_conflict(self):
+        failure = self.failureResultOf(
+            self.start(files(2), "ana", seen=7), changes.ApplyConflictError
+        )
+        self.assertEqual(1, failure.value.generation)
+
+    def test_bad_folder_never_reaches_the_store(self):
+        before = dict(self.store.objects)
+        self.failureResultOf(self.start(files(0), "ana"), errors.SettingsError)
+        self.assertEqual(before, self.store.objects)
+
+    def test_no_change_makes_no_generation(self):
+        self.assertTrue(self.apply(files(1)).unchanged)
+        self.assertEqual(1, self.head().generation)
+
+
+class StoreTest(unittest.SynchronousTestCase):
+    def test_conditional_update_and_watch(self):
+        clock = task.Clock()
+        store = memory.MemoryStore(clock)
+
+        def run(work):
+            return defer.ensureDeferred(work)
+
+        first = self.successResultOf(run(store.put("a", b"1", 0)))
+        self.failureResultOf(
+            run(store.put("a", b"2", 0)), errors.StoreConflictError
+        )
+        watch = run(store.watch("a", first, 1_000.0))
+        self.assertNoResult(watch)
+        second = self.successResultOf(run(store.put("a", b"2", first)))
+        self.assertEqual(second, self.successResultOf(watch).version)
+        quiet = run(store.watch("a", second, 1_000.0))
+        clock.advance(1.0)
+        self.assertEqual(b"2", self.successResultOf(quiet).value)
--- a/packages/policy/src/godwitflow/policy/calls.py
+++ b/packages/policy/src/godwitflow/policy/calls.py
@@ -24,6 +24,12 @@
         """Return how many later calls to the upstream have answered."""
         return self.upstream.successes - self.successes_before
 
+    def wanted(self) -> bool:
+        """Tell whether the call runs and a job still wants its answer."""
+        if self.ended:
+            return False
+        return any(not job.done for job in self.jobs)
+
     def open_jobs(self) -> list[jobs_module.Job]:
         """Return the jobs that still want an answer."""
         return [job for job in self.jobs if not job.done]
--- a/packages/policy/src/godwitflow/policy/dispatcher.py
+++ b/packages/policy/src/godwitflow/policy/dispatcher.py
@@ -29,9 +29,11 @@
 SHARE_WEIGHT = 0.02
 URGENT_RECENT_MS = 1_000.0
 RESERVE_SHARE = 0.15
+RESERVE_FROM_BUSY = 0.75
 MAX_TRIES = 3
 EXPIRY_CHECK_MS = 10.0
-SILENCE_CHECK_MS = 25.0
+MIN_WAKEUP_MS = 0.5
+SILENCE_CHECK_MS = 50.0
 SILENCE_MIN_MS = 50.0
 SILENCE_FACTOR = 3.0
 SILENCE_REPLIES = 3
@@ -73,6 +75,8 @@
         self._start_shares = [0.0] * len(self.floors)
         self._batch_since_ms: float | None = None
         self._silence_check_at_ms = 0.0
+        self._expiry_check_at_ms = 0.0
+        self._slots = self.replicas.stated_slots()
 
     def apply(self, service: config.Service) -> None:
         """Take the settings of a newer configuration."""
@@ -155,50 +159,58 @@
 
     def step(self, now_ms: float) -> list[jobs.Action]:
         """Drop what has expired, start what has a slot, hedge."""
-        held, self._held = self._held, []
-        for job in held:
-            self._requeue(job)
+        if self._held:
+            held, self._held = self._held, []
+            for job in held:
+                self._requeue(job)
         actions: list[jobs.Action] = []
-        for job in self.queue.drop_expired(now_ms):
-            actions.append(self._expire(job))
-        aside: list[jobs.Job] = []
-        while len(self.queue) and len(aside) < MAX_ASIDE:
-            started = self._start_next(now_ms, aside)
-            if started is None:
-                break
-            actions.extend(started)
-        for job in aside:
-            self._requeue(job)
+        if len(self.queue):
+            if now_ms >= self._expiry_check_at_ms:
+                self._expiry_check_at_ms = now_ms + EXPIRY_CHECK_MS
+                for job in self.queue.drop_expired(now_ms):
+                    actions.append(self._expire(job))
+            self._start_queued(now_ms, actions)
         for call in self.hedging.late(now_ms):
             actions.extend(self._hedge(now_ms, call))
-        actions.extend(self._abort_silent(now_ms))
-        self._sample_busy()
+        if now_ms >= self._silence_check_at_ms:
+            actions.extend(self._abort_silent(now_ms))
         return actions
 
     def next_wakeup_ms(self, now_ms: float) -> float | None:
         """Return when ``step`` should run next without an event."""
-        times = []
+        wakeup_ms = self.hedging.next_late_at_ms()
         if self._batch_since_ms is not None:
-            times.append(self._batch_since_ms + self.service.batch_window_ms)
-        late_at_ms = self.hedging.next_late_at_ms()
-        if late_at_ms is not None:
-            times.append(late_at_ms)
+            window_ms = self.service.batch_window_ms
+            wakeup_ms = _sooner(wakeup_ms, self._batch_since_ms + window_ms)
         if self.calls:
-            times.append(self._silence_check_at_ms)
-        if len(self.queue) or self._held:
-            times.append(now_ms + EXPIRY_CHECK_MS)
-        return max(min(times), now_ms + 0.1) if times else None
+            wakeup_ms = _sooner(wakeup_ms, self._silence_check_at_ms)
+        if self._held or len(self.queue):
+            wakeup_ms = _sooner(wakeup_ms, now_ms + EXPIRY_CHECK_MS)
+        if wakeup_ms is None:
+            return None
+        return max(wakeup_ms, now_ms + MIN_WAKEUP_MS)
+
+    def _start_queued(self, now_ms: float, actions: list[jobs.Action]) -> None:
+        aside: list[jobs.Job] = []
+        while len(self.queue) and len(aside) < MAX_ASIDE:
+            survey = self.replicas.survey(now_ms)
+            if survey.free <= 0 or self._waits_for_batch(now_ms):
+                break
+            started = self._start_next(now_ms, survey, aside)
+            if started is None:
+                break
+            actions.extend(started)
+        for job in aside:
+            self._requeue(job)
 
     def _start_next(
-        self, now_ms: float, aside: list[jobs.Job]
+        self,
+        now_ms: float,
+        survey: replicas.Survey,
+        aside: list[jobs.Job],
     ) -> list[jobs.Action] | None:
-        """Start one call; None where nothing more can start now."""
-        free = self.replicas.free(now_ms)
-        if free <= 0:
-            return None
-        allowed = self._allowed_rank(now_ms, free)
-        if self._waits_for_batch(now_ms):
-            return None
+        """Start one call; None where nothing more may start now."""
+        allowed = self._allowed_rank(now_ms, survey)
         job = self.queue.pop(allowed)
         if job is None:
             return None
@@ -210,21 +222,23 @@
         if not self._may_run(job):
             self._held.append(job)
             return []
-        upstream = self._choose(now_ms, job)
+        upstream = self._choose(now_ms, survey, job)
         if upstream is None:
             return self._set_aside(job, aside)
         batch = self._fill(job, allowed)
         return [self._start(now_ms, upstream, batch)]
 
     def _choose(
-        self, now_ms: float, job: jobs.Job
+        self, now_ms: float, survey: replicas.Survey, job: jobs.Job
     ) -> upstreams.Upstream | None:
-        upstream = self.replicas.choose(now_ms, job.tried)
+        upstream = self.replicas.choose(survey.ready, job.tried)
         if upstream is not None:
             return upstream
         may_probe = job.rank > 0 or len(self.floors) == 1
         wait_ms = self.wait_ms(job.rank)
-        return self.replicas.choose_slow(now_ms, job.tried, may_probe, wait_ms)
+        return self.replicas.choose_doubtful(
+            now_ms, survey.ready, job.tried, may_probe, wait_ms
+        )
 
     def _set_aside(
         self, job: jobs.Job, aside: list[jobs.Job]
@@ -276,22 +290,22 @@
     def _batches(job: jobs.Job) -> bool:
         return job.idempotent and not job.alone and not job.canary
 
-    def _allowed_rank(self, now_ms: float, free: int) -> int:
+    def _allowed_rank(self, now_ms: float, survey: replicas.Survey) -> int:
         """Return the least urgent rank that may take one of the slots.
 
-        A share of the slots stays free for each more urgent rank that
-        has had work lately, since a running call cannot be preempted.
+        A share of the slots stays free for more urgent ranks that have
+        had work lately, since a running call cannot be preempted.
         """
-        total = self.replicas.limit()
-        reserve = max(1, round(total * RESERVE_SHARE))
-        held = 0
-        for rank in range(len(self._arrived_at_ms)):
-            if free <= held:
-                return rank - 1
-            recent = now_ms - self._arrived_at_ms[rank] < URGENT_RECENT_MS
-            if recent and total > 2 * reserve:
-                held = reserve
-        return len(self._arrived_at_ms) - 1
+        reserve = max(1, round(survey.limit * RESERVE_SHARE))
+        last = len(self._arrived_at_ms) - 1
+        if survey.free > reserve or survey.limit <= 2 * reserve:
+            return last
+        if self.busy_share < RESERVE_FROM_BUSY:
+            return last
+        for rank in range(last):
+            if now_ms - self._arrived_at_ms[rank] < URGENT_RECENT_MS:
+                return rank
+        return last
 
     def _too_late(self, now_ms: float, job: jobs.Job) -> bool:
         """Tell whether a job can no longer be answered in time."""
@@ -316,6 +330,7 @@
         )
         self.calls[call.id] = call
         upstream.on_start()
+        self._sample_busy()
         for job in batch:
             job.calls.add(call.id)
             job.tried.append(upstream.id)
@@ -353,9 +368,9 @@
         for job in call.jobs:
             if job.trials:
                 job.trials -= 1
-                self.suspects.on_end(job.fingerprint, crashed, now_ms)
-            elif crashed:
-                self.suspects.on_end(job.fingerprint, True, now_ms)
+                self.suspects.on_end(job.fingerprint)
+            if crashed and not job.done:
+                self.suspects.on_crash(job.fingerprint, job.shard, now_ms)
 
     # Hedging ----------------------------------------------------------
 
@@ -369,7 +384,8 @@
         if self.replicas.random.random() >= room:
             self.counts["hedges_no_room"] += 1
             return []
-        upstream = self.replicas.choose(now_ms, first.tried)
+        ready = self.replicas.survey(now_ms).ready
+        upstream = self.replicas.choose(ready, first.tried)
         if upstream is None:
             self.counts["hedges_no_replica"] += 1
             return []
@@ -388,9 +404,10 @@
         request that may run only once is never given up early.
         """
         late_ms = self.hedging.delay_ms()
-        if now_ms < self._silence_check_at_ms or late_ms is None:
-            return []
         self._silence_check_at_ms = now_ms + SILENCE_CHECK_MS
+        if late_ms is None:
+            return []
+        self._slots = self.replicas.stated_slots()
         soon_ms = max(SILENCE_MIN_MS, SILENCE_FACTOR * late_ms)
         alone_ms = max(SILENCE_MIN_MS, SILENCE_ALONE_FACTOR * late_ms)
         actions: list[jobs.Action] = []
@@ -453,6 +470,7 @@
         self, now_ms: float, call: calls.Call, job: jobs.Job, item: jobs.ItemOk
     ) -> list[jobs.Action]:
         self._finish(job)
+        self.suspects.on_success(job.fingerprint, job.shard)
         if call.hedge:
             self.counts["hedges_won"] += 1
         started_ms = job.started_at_ms or now_ms
@@ -565,8 +583,7 @@
     # Load -------------------------------------------------------------
 
     def _sample_busy(self) -> None:
-        total = self.replicas.stated_slots()
-        busy = len(self.calls) / total if total else 1.0
+        busy = len(self.calls) / max(1, self._slots)
         self.busy_share += BUSY_WEIGHT * (busy - self.busy_share)
 
     def _share_of(self, rank: int) -> float:
@@ -597,3 +614,9 @@
         """Return the report that fronts base their admission on."""
         waits = tuple(self.wait_ms(rank) for rank in range(len(self.floors)))
         return messages.SetLoad(name, self.id, waits, self.busy_share)
+
+
+def _sooner(first_ms: float | None, second_ms: float) -> float:
+    if first_ms is None or second_ms < first_ms:
+        return second_ms
+    return first_ms
--- a/packages/policy/src/godwitflow/policy/hedging.py
+++ b/packages/policy/src/godwitflow/policy/hedging.py
@@ -45,24 +45,22 @@
         return max(late_ms, self.settings.min_delay_ms)
 
     def next_late_at_ms(self) -> float | None:
-        """Return when the oldest watched call turns late."""
+        """Return when the oldest call still wanted turns late."""
+        queue = self._in_order
+        while queue and not queue[0].wanted():
+            queue.popleft()
         delay_ms = self.delay_ms()
-        if not self._in_order or delay_ms is None:
+        if not queue or delay_ms is None:
             return None
-        return self._in_order[0].started_at_ms + delay_ms
+        return queue[0].started_at_ms + delay_ms
 
     def late(self, now_ms: float) -> list[calls.Call]:
         """Take out the calls that are late now and still wanted."""
-        delay_ms = self.delay_ms()
         found: list[calls.Call] = []
-        while self._in_order and delay_ms is not None:
-            call = self._in_order[0]
-            wanted = not call.ended and call.open_jobs()
-            if wanted and now_ms - call.started_at_ms < delay_ms:
-                break
-            self._in_order.popleft()
-            if wanted:
-                found.append(call)
+        late_at_ms = self.next_late_at_ms()
+        while late_at_ms is not None and late_at_ms <= now_ms:
+            found.append(self._in_order.popleft())
+            late_at_ms = self.next_late_at_ms()
         return found
 
     @staticmethod
--- a/packages/policy/src/godwitflow/policy/replicas.py
+++ b/packages/policy/src/godwitflow/policy/replicas.py
@@ -8,6 +8,17 @@
 
 COMPARE_ALL_UP_TO = 4
 UNMEASURED_MS = 10.0
+TYPICAL_REFRESH = 16
+
+_CLOSED = upstreams.Breaker.CLOSED
+
+
+class Survey(typing.NamedTuple):
+    """Replicas with a free slot, their free slots, and the limit."""
+
+    ready: list[upstreams.Upstream]
+    free: int
+    limit: int
 
 
 class Replicas:
@@ -26,6 +37,8 @@
     ) -> None:
         self.slots = slots
         self.random = random.Random(seed)
+        self._typical_ms = 0.0
+        self._typical_age = 0
         self.by_id = {
             name: upstreams.Upstream(name, slots, cold) for name in members
         }
@@ -66,16 +79,26 @@
                 if upstream.in_flight == 0:
                     del self.by_id[name]
 
-    def free(self, now_ms: float) -> int:
-        """Return the number of calls that may start now."""
-        return sum(max(0, item.free(now_ms)) for item in self.by_id.values())
+    def survey(self, now_ms: float) -> "Survey":
+        """Look at every replica once: who has a slot, and how many."""
+        ready = []
+        free = 0
+        limit = 0
+        for item in self.by_id.values():
+            slots = item.free(now_ms)
+            if slots > 0:
+                ready.append(item)
+                free += slots
+            if item.breaker is _CLOSED and not item.leaving:
+                limit += item.limit
+        return Survey(ready, free, limit)
 
     def limit(self) -> int:
         """Return the calls that may run at once on healthy replicas."""
         return sum(
             item.limit
             for item in self.by_id.values()
-            if not item.leaving and item.breaker is upstreams.Breaker.CLOSED
+            if item.breaker is _CLOSED and not item.leaving
         )
 
     def stated_slots(self) -> int:
@@ -93,54 +116,65 @@
 
     def typical_ms(self) -> float:
         """Return the lower median of the replicas' average latency."""
-        speeds = sorted(
-            item.average.value_ms
-            for item in self.by_id.values()
-            if item.average.count >= upstreams.SLOW_MIN_COUNT
-        )
-        return speeds[(len(speeds) - 1) // 2] if speeds else 0.0
+        self._typical_age += 1
+        if self._typical_age >= TYPICAL_REFRESH:
+            self._typical_age = 0
+            speeds = sorted(
+                item.average.value_ms
+                for item in self.by_id.values()
+                if item.average.count >= upstreams.SLOW_MIN_COUNT
+            )
+            middle = (len(speeds) - 1) // 2
+            self._typical_ms = speeds[middle] if speeds else 0.0
+        return self._typical_ms
 
     def choose(
-        self, now_ms: float, tried: typing.Container[ids.UpstreamId]
+        self,
+        ready: list[upstreams.Upstream],
+        tried: typing.Container[ids.UpstreamId],
     ) -> upstreams.Upstream | None:
-        """Pick a replica of ordinary speed that has a free slot."""
+        """Pick one of ordinary speed among those with a free slot."""
         typical_ms = self.typical_ms()
         usable = [
             item
-            for item in self.by_id.values()
+            for item in ready
             if item.id not in tried
-            and item.free(now_ms) > 0
             and not item.is_slow(typical_ms)
+            and item.breaker is _CLOSED
         ]
         if len(usable) > COMPARE_ALL_UP_TO:
             usable = self.random.sample(usable, 2)
-        return min(usable, key=self._cost) if usable else None
+        if len(usable) <= 1:
+            return usable[0] if usable else None
+        return min(usable, key=self._cost)
 
     def _cost(self, item: upstreams.Upstream) -> tuple[float, float]:
         speed_ms = item.average.value_ms or UNMEASURED_MS
         cost = speed_ms * (1 + item.in_flight) / max(1, item.limit)
         return cost, self.random.random()
 
-    def choose_slow(
+    def choose_doubtful(
         self,
         now_ms: float,
+        ready: list[upstreams.Upstream],
         tried: typing.Container[ids.UpstreamId],
         may_probe: bool,
         wait_ms: float,
     ) -> upstreams.Upstream | None:
-        """Pick a slow replica where that still makes sense.
+        """Pick a slow or half-open replica where that still makes sense.
 
-        It gets a probe now and then, to notice when it is fast again,
+        It gets a probe now and then, to notice when it is well again,
         and real work where the queue's wait exceeds its slowness or no
         other replica is usable at all.
         """
         typical_ms = self.typical_ms()
-        for item in self.by_id.values():
-            if item.id in tried or item.free(now_ms) <= 0:
+        for item in ready:
+            if item.id in tried:
                 continue
             since_ms = now_ms - item.last_probe_at_ms
             probe = may_probe and since_ms >= upstreams.SLOW_PROBE_MS
-            worth = wait_ms > item.average.value_ms
+            closed = item.breaker is _CLOSED
+            worth = closed and wait_ms > item.average.value_ms
             if probe or worth or self._only_one(item, typical_ms):
                 item.last_probe_at_ms = now_ms
                 return item
@@ -150,7 +184,7 @@
         return not any(
             other is not item
             and not other.leaving
-            and other.breaker is not upstreams.Breaker.OPEN
+            and other.breaker is _CLOSED
             and not other.is_slow(typical_ms)
             for other in self.by_id.values()
         )
--- a/packages/policy/src/godwitflow/policy/suspects.py
+++ b/packages/policy/src/godwitflow/policy/suspects.py
@@ -11,18 +11,29 @@
 
 @dataclasses.dataclass
 class Record:
-    """Crashes under one fingerprint and trials running now."""
+    """Crashes under one fingerprint, by shard, and trials running now.
 
-    crashes: int = 0
+    ``heard`` is the highest count that a peer has told.
+    """
+
+    by_shard: dict[ids.ShardId, int] = dataclasses.field(default_factory=dict)
+    heard: int = 0
     running: int = 0
     seen_at_ms: float = 0.0
 
+    @property
+    def crashes(self) -> int:
+        """The upstreams lost, as far as this node knows."""
+        return max(self.heard, sum(self.by_shard.values()))
+
 
 class Suspects:
     """Counts crashes and says who may still run.
 
     At most ``MAX_CRASHES`` upstreams are lost to one fingerprint: trials
-    in flight count as crashes until they are over.
+    in flight count as crashes until they are over. A request that was
+    merely beside the guilty one is cleared when it succeeds on the same
+    shard.
     """
 
     def __init__(self) -> None:
@@ -53,18 +64,34 @@
         if len(self._records) > MAX_ENTRIES:
             self._evict(now_ms)
 
-    def on_end(
-        self, fingerprint: ids.Fingerprint, crashed: bool, now_ms: float
-    ) -> None:
+    def on_end(self, fingerprint: ids.Fingerprint) -> None:
         """Count a trial as over."""
-        record = self._records.setdefault(fingerprint, Record())
+        record = self._records.get(fingerprint)
+        if record is None:
+            return
         record.running = max(0, record.running - 1)
-        record.seen_at_ms = now_ms
-        if crashed:
-            record.crashes += 1
-        elif record.running == 0 and record.crashes == 0:
+        if record.running == 0 and record.crashes == 0:
             del self._records[fingerprint]
 
+    def on_crash(
+        self,
+        fingerprint: ids.Fingerprint,
+        shard: ids.ShardId,
+        now_ms: float,
+    ) -> None:
+        """Count an upstream as lost to a request on a shard."""
+        record = self._records.setdefault(fingerprint, Record())
+        record.by_shard[shard] = record.by_shard.get(shard, 0) + 1
+        record.seen_at_ms = now_ms
+
+    def on_success(
+        self, fingerprint: ids.Fingerprint, shard: ids.ShardId
+    ) -> None:
+        """Clear a request of the crash on a shard where it now ran."""
+        record = self._records.get(fingerprint)
+        if record is not None:
+            record.by_shard.pop(shard, None)
+
     def learn(
         self, fingerprint: ids.Fingerprint, crashes: int, now_ms: float
     ) -> bool:
@@ -72,7 +99,7 @@
         record = self._records.setdefault(fingerprint, Record())
         if crashes <= record.crashes:
             return False
-        record.crashes = crashes
+        record.heard = crashes
         record.seen_at_ms = now_ms
         return True
 
--- a/packages/policy/src/godwitflow/policy/upstreams.py
+++ b/packages/policy/src/godwitflow/policy/upstreams.py
@@ -72,6 +72,8 @@
         """Return how many more calls may start now."""
         if self.leaving:
             return 0
+        if self.breaker is Breaker.CLOSED and now_ms >= self.shed_until_ms:
+            return self.limit - self.in_flight
         if self.breaker is Breaker.OPEN:
             if now_ms < self.open_until_ms:
                 return 0
--- a/packages/settings/src/godwitflow/settings/config.py
+++ b/packages/settings/src/godwitflow/settings/config.py
@@ -45,7 +45,12 @@
 
 @dataclasses.dataclass(frozen=True)
 class Service:
-    """A query service over the shards of one index object."""
+    """A query service over the shards of one index object.
+
+    Requests never answered before, of ``canary_from_rank`` and less
+    urgent, run on one shard first, so that one that crashes upstreams
+    does not reach all shards; 16 switches that off.
+    """
 
     index: str
     priorities: dict[str, Priority]
@@ -56,7 +61,7 @@
     batch_window_ms: float = 0.0
     call_timeout_ms: float = 2_000.0
     retry_budget_share: float = 0.1
-    canary: bool = True
+    canary_from_rank: int = 1
     max_body_bytes: int = 65_536
     hedge: Hedge = Hedge()
 
@@ -156,7 +161,9 @@
             "call_timeout_ms", schema.Number(1, MAX_DEADLINE_MS), 2_000.0
         ),
         schema.Field("retry_budget_share", _SHARE, 0.1),
-        schema.Field("canary", schema.Flag(), True),
+        schema.Field(
+            "canary_from_rank", schema.Number(0, 16, integer=True), 1
+        ),
         schema.Field(
             "max_body_bytes",
             schema.Number(64, 1_000_000, integer=True),
--- a/packages/settings/src/godwitflow/settings/documents.py
+++ b/packages/settings/src/godwitflow/settings/documents.py
@@ -13,6 +13,10 @@
 from godwitflow.settings import problems
 
 MAX_DEPTH = 20
+PLAIN_TAGS = frozenset(
+    f"tag:yaml.org,2002:{name}"
+    for name in ("map", "seq", "str", "int", "float", "bool", "null")
+)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -60,6 +64,9 @@
 
     def convert(self, node: yaml.Node, path: str, depth: int) -> Node:
         place = self.place(node.start_mark)
+        if node.tag not in PLAIN_TAGS:
+            self.report(place, path, f"the tag {node.tag}", "plain values")
+            return Scalar(place, None)
         if depth > MAX_DEPTH:
             self.report(place, path, "deep nesting", f"{MAX_DEPTH} levels")
             return Scalar(place, None)
--- /dev/null
+++ b/packages/wire/tests/test_codec.py
@@ -0,0 +1,54 @@
+"""Tests of the inner protocol's codec."""
+
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+import msgspec
+
+from godwitflow.model import answers
+from godwitflow.model import errors
+from godwitflow.wire import codec
+from godwitflow.wire import messages
+
+HEADER = codec.Header(codec.VERSION, "vm1", 7, "tcp://127.0.0.1:1")
+PIECE = messages.Piece(
+    1, "s1", 2, messages.PieceStatus.OK, answers.Ran.RAN, b"[]"
+)
+
+
+class CodecTest(unittest.TestCase):
+    def test_round_trip(self):
+        batch = [PIECE, messages.Ping(4), messages.CancelPieces((1, 2))]
+        received = codec.decode(codec.encode(HEADER, batch))
+        self.assertEqual(HEADER, received.header)
+        self.assertEqual(batch, received.messages)
+
+    def test_newer_peer_is_understood(self):
+        """A peer of the next version adds a field and a message kind."""
+        header = [codec.VERSION + 1, "vm2", 9, "tcp://127.0.0.1:2", "extra"]
+        ping = [14, 5, "a field of the next version"]
+        unknown = [99, "a message of the next version"]
+        raw = msgspec.msgpack.encode([header, [ping, unknown]])
+        received = codec.decode(raw)
+        self.assertEqual([messages.Ping(5)], received.messages)
+        self.assertEqual(1, received.rejected)
+
+    def test_truncated_envelope_is_refused(self):
+        raw = codec.encode(HEADER, [PIECE])
+        for cut in range(len(raw)):
+            with self.assertRaises(errors.CodecError):
+                codec.decode(raw[:cut])
+
+    @hypothesis.settings(
+        derandomize=True, deadline=None, max_examples=300, database=None
+    )
+    @hypothesis.given(strategies.data())
+    def test_damaged_bytes_never_raise_anything_else(self, data):
+        raw = bytearray(codec.encode(HEADER, [PIECE, messages.Ping(1)]))
+        place = data.draw(strategies.integers(0, len(raw) - 1))
+        raw[place] = data.draw(strategies.integers(0, 255))
+        try:
+            codec.decode(bytes(raw))
+        except errors.CodecError:
+            pass
