Count admitted work that no queue holds yet

Ruled out: the report period (50 ms), which bounds the overshoot to some 75 queries.

Change: each dispatcher reports what a piece adds to the wait; a front multiplies it by its own queries under way and by the number of fronts. A split shard costs half in the model, as it holds half the rows.

--- a/packages/daemon/src/godwitflow/daemon/dispatch.py
+++ b/packages/daemon/src/godwitflow/daemon/dispatch.py
@@ -19,7 +19,7 @@
 from godwitflow.upstream import client
 from godwitflow.wire import messages
 
-LOAD_PERIOD_MS = 50.0
+LOAD_QUIET_MS = 1_000.0
 CLIENT_RECENT_MS = 1_000.0
 MIN_TIMER_S = 0.0005
 
@@ -57,7 +57,8 @@
         self._calls: dict[tuple[SetKey, int], tuple[jobs.Job, ...]] = {}
         self._clients: dict[SetKey, dict[ids.NodeId, float]] = {}
         self._sets_of: dict[tuple[str, ids.PieceId], SetKey] = {}
-        self._reported: set[SetKey] = set()
+        self._reported: dict[SetKey, float] = {}
+        self._waited: set[SetKey] = set()
         self._spans: dict[tuple[str, ids.PieceId], tracing.Span] = {}
 
     # Messages ---------------------------------------------------------
@@ -279,20 +280,30 @@
         for key, clients in self._clients.items():
             found = self.sets[key]
             load = found.load(key[0])
-            waiting = any(load.wait_ms)
-            if not waiting and key not in self._reported:
+            if not self._worth_reporting(now_ms, key, load):
                 continue
-            if waiting:
-                self._reported.add(key)
-            else:
-                self._reported.discard(key)
             for node, seen_at_ms in list(clients.items()):
                 if now_ms - seen_at_ms > CLIENT_RECENT_MS:
                     del clients[node]
                     continue
                 rows.setdefault(node, []).append(load)
         for node, loads in rows.items():
-            self.send(node, messages.Loads(tuple(loads)))
+            self.send(node, messages.Loads(tuple(loads), len(rows)))
+
+    def _worth_reporting(
+        self, now_ms: float, key: SetKey, load: messages.SetLoad
+    ) -> bool:
+        """Report while work waits, once more after, and now and then."""
+        waiting = any(load.wait_ms)
+        due = now_ms - self._reported.get(key, -LOAD_QUIET_MS) >= LOAD_QUIET_MS
+        waited = key in self._waited
+        self._waited.discard(key)
+        if waiting:
+            self._waited.add(key)
+        if not (waiting or waited or due):
+            return False
+        self._reported[key] = now_ms
+        return True
 
     @property
     def idle(self) -> bool:
--- a/packages/daemon/src/godwitflow/daemon/front.py
+++ b/packages/daemon/src/godwitflow/daemon/front.py
@@ -203,6 +203,9 @@
             return self.route(f"{service}/{set_id}")
 
         run = query_run.QueryRun(request, pinned.index, route, self._piece_ids)
+        share = len(run.pieces) / len(pinned.index.shards)
+        gate = self._admission(service)
+        gate.on_start(pinned.rank, share)
         running = _Running(run, defer.Deferred())
         self.runs[request.query_id] = running
         now_ms = self.now_ms()
@@ -211,7 +214,10 @@
             max(0.0, left_ms / clock.MS_PER_S), self._on_deadline, running
         )
         self._perform(running, run.start(now_ms))
-        return await running.result
+        try:
+            return await running.result
+        finally:
+            gate.on_end(pinned.rank, share)
 
     def _request(
         self, pinned: _Pinned, order: int, claim_ms: float
@@ -260,7 +266,8 @@
     def on_loads(self, loads: messages.Loads) -> None:
         """Learn how long new work would queue."""
         for load in loads.sets:
-            self._admission(load.service).learn(load, self.now_ms())
+            gate = self._admission(load.service)
+            gate.learn(load, loads.fronts, self.now_ms())
 
     def on_heard(self, node: ids.NodeId) -> None:
         """Note a sign of life of a peer."""
@@ -328,7 +335,7 @@
             running.timer.cancel()
         if isinstance(result, answers.Answer):
             self.known_good.add(run.request.fingerprint)
-        extra = max(0, run.calls - len(list(run.pieces)))
+        extra = max(0, run.calls - len(run.pieces))
         self.metrics.count("extra_calls", extra)
         running.result.callback(result)
 
--- a/packages/lab/src/godwitflow/lab/model_upstream.py
+++ b/packages/lab/src/godwitflow/lab/model_upstream.py
@@ -55,6 +55,7 @@
         self.down_until_ms = 0.0
         self.cold_calls = 0
         self.snapshots: set[int] = {1}
+        self.cost_of: dict[str, float] = {}
         self.crashes = 0
         self.calls = 0
         self.slot_ms = 0.0
@@ -107,6 +108,8 @@
         spent_ms = self.service_ms * self.random.lognormvariate(
             -SIGMA * SIGMA / 2, SIGMA
         )
+        shards = [self.cost_of.get(job.shard, 1.0) for job in work.items]
+        spent_ms *= max(shards, default=1.0)
         if self.cold_calls > 0:
             self.cold_calls -= 1
             spent_ms *= COLD_FACTOR
--- a/packages/lab/src/godwitflow/lab/scenarios.py
+++ b/packages/lab/src/godwitflow/lab/scenarios.py
@@ -118,8 +118,12 @@
     shards = dict(index.shards)
     victim = world.random.choice(sorted(shards))
     set_id = shards.pop(victim)
-    shards[ids.ShardId(victim + "a")] = set_id
-    shards[ids.ShardId(victim + "b")] = set_id
+    for half in ("a", "b"):
+        shard = ids.ShardId(victim + half)
+        shards[shard] = set_id
+        for item in world.upstreams.values():
+            # Half the rows take half the time.
+            item.cost_of[shard] = item.cost_of.get(victim, 1.0) / 2
     return index_model.Index(
         index.service,
         ids.SnapshotVersion(index.snapshot + 1),
--- a/packages/policy/src/godwitflow/policy/admission.py
+++ b/packages/policy/src/godwitflow/policy/admission.py
@@ -37,14 +37,23 @@
 
 
 class _SetWait:
-    __slots__ = ("at_ms", "busy_share", "wait_ms")
+    __slots__ = ("at_ms", "turn_ms", "wait_ms")
 
     def __init__(self, load: messages.SetLoad, at_ms: float) -> None:
         self.wait_ms = load.wait_ms
-        self.busy_share = load.busy_share
+        self.turn_ms = load.turn_ms
         self.at_ms = at_ms
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Worst:
+    """The longest wait and turn among the sets, as reported."""
+
+    wait_ms: float
+    turn_ms: float
+    at_ms: float
+
+
 class Admission:
     """Decides from the latest load of each replica set of a service.
 
@@ -52,15 +61,24 @@
     of the deadline. Below that, the share admitted falls linearly, by a
     hash of the query, which keeps the queues from swinging between full
     and empty while reports are on their way.
+
+    The wait expected is the longer of two: what a dispatcher reports,
+    and what the queries under way at all fronts will add, of which this
+    front knows its own. The second sees work that no queue holds yet.
     """
 
     def __init__(self) -> None:
         self._sets: dict[ids.ReplicaSetId, _SetWait] = {}
-        self._worst: dict[int, tuple[float, float]] = {}
+        self._worst: dict[int, _Worst] = {}
+        self._under_way: dict[int, float] = {}
+        self._fronts = 1
 
-    def learn(self, load: messages.SetLoad, now_ms: float) -> None:
+    def learn(
+        self, load: messages.SetLoad, fronts: int, now_ms: float
+    ) -> None:
         """Take a dispatcher's report on one replica set."""
         self._sets[load.replica_set] = _SetWait(load, now_ms)
+        self._fronts = max(1, fronts)
         self._worst.clear()
 
     def forget(self, keep: typing.Container[ids.ReplicaSetId]) -> None:
@@ -69,27 +87,35 @@
             del self._sets[set_id]
         self._worst.clear()
 
+    def on_start(self, rank: ids.Rank, share: float) -> None:
+        """Count a query as under way; ``share`` of the shards it asks."""
+        self._under_way[rank] = self._under_way.get(rank, 0.0) + share
+
+    def on_end(self, rank: ids.Rank, share: float) -> None:
+        """Count a query as over."""
+        left = self._under_way.get(rank, 0.0) - share
+        self._under_way[rank] = max(0.0, left)
+
     def expected_wait_ms(self, now_ms: float, rank: ids.Rank) -> float:
-        """Return the longest queue wait among the replica sets."""
-        kept = self._worst.get(rank)
-        if kept is None:
-            kept = self._find_worst(now_ms, rank)
-            self._worst[rank] = kept
-        wait_ms, at_ms = kept
-        if now_ms - at_ms > REPORT_STALE_MS:
-            self._worst.pop(rank, None)
-            return 0.0
-        return max(0.0, wait_ms)
-
-    def _find_worst(self, now_ms: float, rank: int) -> tuple[float, float]:
-        worst = (0.0, now_ms)
+        """Return the longest queue wait that a new query would meet."""
+        worst = self._worst.get(rank)
+        if worst is None or now_ms - worst.at_ms > REPORT_STALE_MS:
+            worst = self._find_worst(now_ms, rank)
+            self._worst[rank] = worst
+        ahead = self._under_way.get(rank, 0.0) * self._fronts
+        return max(worst.wait_ms, ahead * worst.turn_ms)
+
+    def _find_worst(self, now_ms: float, rank: int) -> _Worst:
+        wait_ms = 0.0
+        turn_ms = 0.0
         for load in self._sets.values():
-            if now_ms - load.at_ms > REPORT_STALE_MS or not load.wait_ms:
+            if not load.wait_ms:
                 continue
-            wait_ms = load.wait_ms[min(rank, len(load.wait_ms) - 1)]
-            if wait_ms > worst[0]:
-                worst = (wait_ms, load.at_ms)
-        return worst
+            place = min(rank, len(load.wait_ms) - 1)
+            turn_ms = max(turn_ms, load.turn_ms[place])
+            if now_ms - load.at_ms <= REPORT_STALE_MS:
+                wait_ms = max(wait_ms, load.wait_ms[place])
+        return _Worst(wait_ms, turn_ms, now_ms)
 
     def decide(
         self, now_ms: float, rank: ids.Rank, deadline_ms: float, order: int
--- a/packages/policy/src/godwitflow/policy/dispatcher.py
+++ b/packages/policy/src/godwitflow/policy/dispatcher.py
@@ -603,17 +603,23 @@
         """Return how long a new job of a rank would queue."""
         rank = min(rank, len(self.floors) - 1)
         own = self.queue.counts[rank]
-        if not own:
-            return 0.0
+        return own * self.turn_ms(rank) if own else 0.0
+
+    def turn_ms(self, rank: int) -> float:
+        """Return how much each queued piece of a rank adds to a wait."""
         slots = max(1, self.replicas.limit())
         each_ms = self.service_time.value_ms or replicas.UNMEASURED_MS
-        turn_ms = each_ms / (slots * self.service.batch_size)
-        return own * turn_ms / self._share_of(rank)
+        per_piece_ms = each_ms / (slots * self.service.batch_size)
+        return per_piece_ms / self._share_of(rank)
 
     def load(self, name: ids.ServiceName) -> messages.SetLoad:
         """Return the report that fronts base their admission on."""
-        waits = tuple(self.wait_ms(rank) for rank in range(len(self.floors)))
-        return messages.SetLoad(name, self.id, waits, self.busy_share)
+        turns = tuple(self.turn_ms(rank) for rank in range(len(self.floors)))
+        waits = tuple(
+            turn_ms * count
+            for turn_ms, count in zip(turns, self.queue.counts, strict=True)
+        )
+        return messages.SetLoad(name, self.id, waits, turns, self.busy_share)
 
 
 def _sooner(first_ms: float | None, second_ms: float) -> float:
--- a/packages/policy/src/godwitflow/policy/query_run.py
+++ b/packages/policy/src/godwitflow/policy/query_run.py
@@ -129,7 +129,7 @@
         return list(index.shards)
 
     @property
-    def pieces(self) -> typing.Iterable[ids.PieceId]:
+    def pieces(self) -> typing.Collection[ids.PieceId]:
         """The piece ids of the current snapshot's scatter."""
         return self._refs.keys()
 
--- a/packages/settings/tests/test_config.py
+++ b/packages/settings/tests/test_config.py
@@ -26,7 +26,8 @@
     folder.File("10-seats.yaml", GOOD.replace(b"600}", b"NaN}")),
     folder.File(
         "20-seats.yaml",
-        b"services:\n  seats:\n    slots: 0\n    slots: 2\n    canary_from_rank: yes\n",
+        b"services:\n  seats:\n    slots: 0\n    slots: 2\n"
+        b"    canary_from_rank: yes\n",
     ),
 )
 
--- a/packages/wire/src/godwitflow/wire/messages.py
+++ b/packages/wire/src/godwitflow/wire/messages.py
@@ -83,19 +83,25 @@
 class SetLoad(msgspec.Struct, frozen=True, array_like=True):
     """The load of one replica set as its dispatcher sees it.
 
-    ``wait_ms`` holds, for each rank, how long new work would queue.
+    ``wait_ms`` holds, for each rank, how long new work would queue;
+    ``turn_ms`` how much each piece ahead of it adds to that.
     """
 
     service: ids.ServiceName
     replica_set: ids.ReplicaSetId
     wait_ms: tuple[float, ...]
+    turn_ms: tuple[float, ...]
     busy_share: float
 
 
 class Loads(msgspec.Struct, frozen=True, array_like=True, tag=4):
-    """A dispatcher tells a front the load of sets it asked for."""
+    """A dispatcher tells a front the load of sets it asked for.
+
+    ``fronts`` counts the fronts that send work to the dispatcher.
+    """
 
     sets: tuple[SetLoad, ...]
+    fronts: int = 1
 
 
 class Claim(msgspec.Struct, frozen=True, array_like=True, tag=5):
