--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,15 @@
 SOURCES := packages
 STAMP := $(VENV)/.installed
 
-.PHONY: test demo demo-nordvind lint clean
+# For make measure: SEED, SCENARIO and DEPLOYMENT choose; JSON=1 prints lines.
+SEED ?= 1 2 3
+SCENARIO ?=
+DEPLOYMENT ?=
+JSON ?=
+JOBS ?= 6
+MEASURED := out/measure
+
+.PHONY: test demo demo-nordvind measure lint clean
 
 $(STAMP): requirements.txt $(wildcard packages/*/pyproject.toml)
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -32,6 +40,15 @@
 demo-nordvind: $(STAMP)
 	$(BIN)/godwitflow demo --deployment svealand
 
+measure: $(STAMP)
+	@rm -rf $(MEASURED); mkdir -p $(MEASURED)
+	@$(BIN)/python -m godwitflow.lab.report plan "$(SCENARIO)" \
+		"$(DEPLOYMENT)" $(SEED) | xargs -P $(JOBS) -I{} sh -c \
+		'$(BIN)/python -m godwitflow.lab.measure {} \
+		> "$(MEASURED)/{}.jsonl"'
+	@$(BIN)/python -m godwitflow.lab.report \
+		$(if $(JSON),json,table) $(MEASURED)
+
 lint: $(STAMP)
 	$(BIN)/ruff format --check --quiet packages
 	$(BIN)/flake8 packages
--- a/packages/daemon/src/godwitflow/daemon/dispatch.py
+++ b/packages/daemon/src/godwitflow/daemon/dispatch.py
@@ -288,13 +288,13 @@
                     continue
                 rows.setdefault(node, []).append(load)
         for node, loads in rows.items():
-            self.send(node, messages.Loads(tuple(loads), len(rows)))
+            self.send(node, messages.Loads(tuple(loads)))
 
     def _worth_reporting(
         self, now_ms: float, key: SetKey, load: messages.SetLoad
     ) -> bool:
         """Report while work waits, once more after, and now and then."""
-        waiting = any(load.wait_ms)
+        waiting = any(load.wait_ms) or any(load.canaries)
         due = now_ms - self._reported.get(key, -LOAD_QUIET_MS) >= LOAD_QUIET_MS
         waited = key in self._waited
         self._waited.discard(key)
--- a/packages/daemon/src/godwitflow/daemon/front.py
+++ b/packages/daemon/src/godwitflow/daemon/front.py
@@ -203,9 +203,6 @@
             return self.route(f"{service}/{set_id}")
 
         run = query_run.QueryRun(request, pinned.index, route, self._piece_ids)
-        share = len(run.pieces) / len(pinned.index.shards)
-        gate = self._admission(service)
-        gate.on_start(pinned.rank, share)
         running = _Running(run, defer.Deferred())
         self.runs[request.query_id] = running
         now_ms = self.now_ms()
@@ -214,10 +211,7 @@
             max(0.0, left_ms / clock.MS_PER_S), self._on_deadline, running
         )
         self._perform(running, run.start(now_ms))
-        try:
-            return await running.result
-        finally:
-            gate.on_end(pinned.rank, share)
+        return await running.result
 
     def _request(
         self, pinned: _Pinned, order: int, claim_ms: float
@@ -267,7 +261,7 @@
         """Learn how long new work would queue."""
         for load in loads.sets:
             gate = self._admission(load.service)
-            gate.learn(load, loads.fronts, self.now_ms())
+            gate.learn(load, self.now_ms())
 
     def on_heard(self, node: ids.NodeId) -> None:
         """Note a sign of life of a peer."""
--- a/packages/lab/src/godwitflow/lab/variant_ours.py
+++ b/packages/lab/src/godwitflow/lab/variant_ours.py
@@ -140,7 +140,6 @@
         )
         run = query_run.QueryRun(request, front.index, _route, self.piece_ids)
         running = _Running(run, front, arrival)
-        front.gate.on_start(arrival.rank, 1.0)
         self.world.pieces += len(run.pieces)
         self._perform_run(running, run.start(self.clock.now_ms))
         self.clock.after(
@@ -185,7 +184,6 @@
             self.running.pop(piece, None)
         if isinstance(result, answers.Answer):
             running.front.good.add(running.run.request.fingerprint)
-        running.front.gate.on_end(running.arrival.rank, 1.0)
         self.world.finish(running.arrival, result)
 
     def _on_piece(self, piece: messages.Piece) -> None:
@@ -336,7 +334,7 @@
     def _learn_loads(self, loads: list[messages.SetLoad]) -> None:
         for front in self.fronts:
             for load in loads:
-                front.gate.learn(load, world_module.FRONTS, self.clock.now_ms)
+                front.gate.learn(load, self.clock.now_ms)
 
     # Index ------------------------------------------------------------
 
--- a/packages/policy/src/godwitflow/policy/admission.py
+++ b/packages/policy/src/godwitflow/policy/admission.py
@@ -36,21 +36,15 @@
 Decision = Admit | Refuse
 
 
-class _SetWait:
-    __slots__ = ("at_ms", "turn_ms", "wait_ms")
-
-    def __init__(self, load: messages.SetLoad, at_ms: float) -> None:
-        self.wait_ms = load.wait_ms
-        self.turn_ms = load.turn_ms
-        self.at_ms = at_ms
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Reported:
+    load: messages.SetLoad
+    at_ms: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _Worst:
-    """The longest wait and turn among the sets, as reported."""
-
+class _Expected:
     wait_ms: float
-    turn_ms: float
     at_ms: float
 
 
@@ -62,60 +56,49 @@
     hash of the query, which keeps the queues from swinging between full
     and empty while reports are on their way.
 
-    The wait expected is the longer of two: what a dispatcher reports,
-    and what the queries under way at all fronts will add, of which this
-    front knows its own. The second sees work that no queue holds yet.
+    The wait expected is the longest that a set reports, and a turn for
+    each query whose canary is still under way, as all its other pieces
+    are yet to come.
     """
 
     def __init__(self) -> None:
-        self._sets: dict[ids.ReplicaSetId, _SetWait] = {}
-        self._worst: dict[int, _Worst] = {}
-        self._under_way: dict[int, float] = {}
-        self._fronts = 1
-
-    def learn(
-        self, load: messages.SetLoad, fronts: int, now_ms: float
-    ) -> None:
+        self._sets: dict[ids.ReplicaSetId, _Reported] = {}
+        self._expected: dict[int, _Expected] = {}
+
+    def learn(self, load: messages.SetLoad, now_ms: float) -> None:
         """Take a dispatcher's report on one replica set."""
-        self._sets[load.replica_set] = _SetWait(load, now_ms)
-        self._fronts = max(1, fronts)
-        self._worst.clear()
+        self._sets[load.replica_set] = _Reported(load, now_ms)
+        self._expected.clear()
 
     def forget(self, keep: typing.Container[ids.ReplicaSetId]) -> None:
         """Forget replica sets that the index no longer names."""
         for set_id in [name for name in self._sets if name not in keep]:
             del self._sets[set_id]
-        self._worst.clear()
-
-    def on_start(self, rank: ids.Rank, share: float) -> None:
-        """Count a query as under way; ``share`` of the shards it asks."""
-        self._under_way[rank] = self._under_way.get(rank, 0.0) + share
-
-    def on_end(self, rank: ids.Rank, share: float) -> None:
-        """Count a query as over."""
-        left = self._under_way.get(rank, 0.0) - share
-        self._under_way[rank] = max(0.0, left)
+        self._expected.clear()
 
     def expected_wait_ms(self, now_ms: float, rank: ids.Rank) -> float:
         """Return the longest queue wait that a new query would meet."""
-        worst = self._worst.get(rank)
-        if worst is None or now_ms - worst.at_ms > REPORT_STALE_MS:
-            worst = self._find_worst(now_ms, rank)
-            self._worst[rank] = worst
-        ahead = self._under_way.get(rank, 0.0) * self._fronts
-        return max(worst.wait_ms, ahead * worst.turn_ms)
-
-    def _find_worst(self, now_ms: float, rank: int) -> _Worst:
+        kept = self._expected.get(rank)
+        if kept is None or now_ms - kept.at_ms > REPORT_STALE_MS:
+            wait_ms = self._find_expected(now_ms, rank)
+            kept = _Expected(wait_ms, now_ms)
+            self._expected[rank] = kept
+        return kept.wait_ms
+
+    def _find_expected(self, now_ms: float, rank: int) -> float:
         wait_ms = 0.0
         turn_ms = 0.0
-        for load in self._sets.values():
-            if not load.wait_ms:
+        canaries = 0
+        for reported in self._sets.values():
+            load = reported.load
+            stale = now_ms - reported.at_ms > REPORT_STALE_MS
+            if stale or not load.wait_ms:
                 continue
             place = min(rank, len(load.wait_ms) - 1)
+            wait_ms = max(wait_ms, load.wait_ms[place])
             turn_ms = max(turn_ms, load.turn_ms[place])
-            if now_ms - load.at_ms <= REPORT_STALE_MS:
-                wait_ms = max(wait_ms, load.wait_ms[place])
-        return _Worst(wait_ms, turn_ms, now_ms)
+            canaries += load.canaries[place]
+        return wait_ms + canaries * turn_ms
 
     def decide(
         self, now_ms: float, rank: ids.Rank, deadline_ms: float, order: int
--- a/packages/policy/src/godwitflow/policy/calls.py
+++ b/packages/policy/src/godwitflow/policy/calls.py
@@ -28,7 +28,10 @@
         """Tell whether the call runs and a job still wants its answer."""
         if self.ended:
             return False
-        return any(not job.done for job in self.jobs)
+        for job in self.jobs:
+            if not job.done:
+                return True
+        return False
 
     def open_jobs(self) -> list[jobs_module.Job]:
         """Return the jobs that still want an answer."""
--- a/packages/policy/src/godwitflow/policy/dispatcher.py
+++ b/packages/policy/src/godwitflow/policy/dispatcher.py
@@ -73,6 +73,7 @@
         self._call_ids = itertools.count(1)
         self._arrived_at_ms = [-URGENT_RECENT_MS] * len(self.floors)
         self._start_shares = [0.0] * len(self.floors)
+        self.canaries = [0] * len(self.floors)
         self._batch_since_ms: float | None = None
         self._silence_check_at_ms = 0.0
         self._expiry_check_at_ms = 0.0
@@ -91,6 +92,9 @@
         self.queue = scheduler.Scheduler(self.floors)
         self._arrived_at_ms = [-URGENT_RECENT_MS] * len(self.floors)
         self._start_shares = [0.0] * len(self.floors)
+        self.canaries = [0] * len(self.floors)
+        for job in self.jobs.values():
+            self.canaries[self._place(job)] += job.canary
         for job in waiting:
             self.queue.push(job)
 
@@ -105,11 +109,12 @@
             return []
         if self.suspects.condemned(job.fingerprint):
             return [self._refuse(job, messages.PieceStatus.SUSPECT)]
-        if len(self.queue) >= MAX_QUEUE:
+        if self.queue.waiting >= MAX_QUEUE:
             return [self._refuse(job, messages.PieceStatus.SHED)]
         self.jobs[key] = job
-        rank = min(job.rank, len(self._arrived_at_ms) - 1)
-        self._arrived_at_ms[rank] = now_ms
+        if job.canary:
+            self.canaries[self._place(job)] += 1
+        self._arrived_at_ms[self._place(job)] = now_ms
         job.queued_at_ms = now_ms
         self.queue.push(job)
         return self.step(now_ms)
@@ -118,9 +123,10 @@
         self, now_ms: float, client: str, piece: ids.PieceId
     ) -> list[jobs.Action]:
         """Stop a job that its front no longer wants."""
-        job = self.jobs.pop((client, piece), None)
+        job = self.jobs.get((client, piece))
         if job is None:
             return []
+        self._forget(job)
         self.counts["cancelled"] += 1
         if not job.calls:
             self.queue.discard(job)
@@ -164,7 +170,7 @@
             for job in held:
                 self._requeue(job)
         actions: list[jobs.Action] = []
-        if len(self.queue):
+        if self.queue.waiting:
             if now_ms >= self._expiry_check_at_ms:
                 self._expiry_check_at_ms = now_ms + EXPIRY_CHECK_MS
                 for job in self.queue.drop_expired(now_ms):
@@ -184,7 +190,7 @@
             wakeup_ms = _sooner(wakeup_ms, self._batch_since_ms + window_ms)
         if self.calls:
             wakeup_ms = _sooner(wakeup_ms, self._silence_check_at_ms)
-        if self._held or len(self.queue):
+        if self._held or self.queue.waiting:
             wakeup_ms = _sooner(wakeup_ms, now_ms + EXPIRY_CHECK_MS)
         if wakeup_ms is None:
             return None
@@ -192,7 +198,7 @@
 
     def _start_queued(self, now_ms: float, actions: list[jobs.Action]) -> None:
         aside: list[jobs.Job] = []
-        while len(self.queue) and len(aside) < MAX_ASIDE:
+        while self.queue.waiting and len(aside) < MAX_ASIDE:
             survey = self.replicas.survey(now_ms)
             if survey.free <= 0 or self._waits_for_batch(now_ms):
                 break
@@ -257,7 +263,7 @@
         window_ms = self.service.batch_window_ms
         if self.service.batch_size <= 1 or window_ms <= 0.0:
             return False
-        if len(self.queue) >= self.service.batch_size:
+        if self.queue.waiting >= self.service.batch_size:
             self._batch_since_ms = None
             return False
         if self._batch_since_ms is None:
@@ -486,7 +492,15 @@
 
     def _finish(self, job: jobs.Job) -> None:
         job.done = True
-        self.jobs.pop((job.client, job.piece), None)
+        self._forget(job)
+
+    def _forget(self, job: jobs.Job) -> None:
+        found = self.jobs.pop((job.client, job.piece), None)
+        if found is not None and job.canary:
+            self.canaries[self._place(job)] -= 1
+
+    def _place(self, job: jobs.Job) -> int:
+        return min(job.rank, len(self.floors) - 1)
 
     def _cancel_calls(self, job: jobs.Job) -> list[jobs.Action]:
         actions: list[jobs.Action] = []
@@ -619,7 +633,14 @@
             turn_ms * count
             for turn_ms, count in zip(turns, self.queue.counts, strict=True)
         )
-        return messages.SetLoad(name, self.id, waits, turns, self.busy_share)
+        return messages.SetLoad(
+            name,
+            self.id,
+            waits,
+            turns,
+            tuple(self.canaries),
+            self.busy_share,
+        )
 
 
 def _sooner(first_ms: float | None, second_ms: float) -> float:
--- a/packages/policy/src/godwitflow/policy/latency.py
+++ b/packages/policy/src/godwitflow/policy/latency.py
@@ -23,7 +23,9 @@
     def record(self, value_ms: float) -> None:
         """Add a value; the first ones count as a plain mean."""
         self.count += 1
-        weight = max(self.weight, 1.0 / self.count)
+        weight = self.weight
+        if weight * self.count < 1.0:
+            weight = 1.0 / self.count
         self.value_ms += weight * (value_ms - self.value_ms)
 
 
--- a/packages/policy/src/godwitflow/policy/scheduler.py
+++ b/packages/policy/src/godwitflow/policy/scheduler.py
@@ -12,7 +12,8 @@
 
 from godwitflow.model import ids
 
-CREDIT_CAP = 2.0
+CREDIT_CAP = 4.0
+FLOOR_MARGIN = 1.15  # a query is as late as its unluckiest shard
 
 
 class Entry(typing.Protocol):
@@ -30,22 +31,24 @@
 class Scheduler(typing.Generic[Item]):
     """A queue per rank with floors.
 
-    Each start adds a rank's floor share to its credit while it waits; a
-    whole credit lets the rank go first once. Items marked ``done`` were
-    cancelled and are skipped.
+    Each start adds a rank's floor share to its credit, up to
+    ``CREDIT_CAP``; a whole credit lets the rank go first once. A rank
+    whose queue is empty for a moment thus keeps its share. Items marked
+    ``done`` were cancelled and are skipped.
     """
 
     def __init__(self, floors: tuple[float, ...]) -> None:
         self.floors = floors
         self.credits = [0.0] * len(floors)
         self.counts = [0] * len(floors)
+        self.waiting = 0
         self._heaps: list[list[tuple[float, int, int, Item]]] = [
             [] for _ in floors
         ]
         self._serial = itertools.count()
 
     def __len__(self) -> int:
-        return sum(self.counts)
+        return self.waiting
 
     def push(self, item: Item) -> None:
         """Queue an item; a rank beyond the last counts as the last."""
@@ -53,12 +56,14 @@
         entry = (item.deadline_at_ms, item.order, next(self._serial), item)
         heapq.heappush(self._heaps[rank], entry)
         self.counts[rank] += 1
+        self.waiting += 1
 
     def discard(self, item: Item) -> None:
         """Mark an item as cancelled; its entry is skipped later."""
         if not item.done:
             item.done = True
             self.counts[min(item.rank, len(self.floors) - 1)] -= 1
+            self.waiting -= 1
 
     def peek(self, rank: int) -> Item | None:
         """Return a rank's first item without taking it."""
@@ -99,12 +104,7 @@
         if self.credits[chosen] >= 1.0:
             self.credits[chosen] -= 1.0
         for rank in range(1, len(self.floors)):
-            if rank == chosen:
-                continue
-            if not self.counts[rank]:
-                self.credits[rank] = 0.0
-                continue
-            raised = self.credits[rank] + self.floors[rank]
+            raised = self.credits[rank] + self.floors[rank] * FLOOR_MARGIN
             self.credits[rank] = min(CREDIT_CAP, raised)
 
     def _take(self, rank: int) -> Item:
@@ -112,6 +112,7 @@
         assert item is not None
         heapq.heappop(self._heaps[rank])
         self.counts[rank] -= 1
+        self.waiting -= 1
         return item
 
     def drain(self) -> list[Item]:
--- a/packages/wire/src/godwitflow/wire/messages.py
+++ b/packages/wire/src/godwitflow/wire/messages.py
@@ -84,24 +84,23 @@
     """The load of one replica set as its dispatcher sees it.
 
     ``wait_ms`` holds, for each rank, how long new work would queue;
-    ``turn_ms`` how much each piece ahead of it adds to that.
+    ``turn_ms`` how much each piece ahead of it adds to that; and
+    ``canaries`` counts queries of which so far only one piece is here,
+    while the rest is not in any queue yet.
     """
 
     service: ids.ServiceName
     replica_set: ids.ReplicaSetId
     wait_ms: tuple[float, ...]
     turn_ms: tuple[float, ...]
+    canaries: tuple[int, ...]
     busy_share: float
 
 
 class Loads(msgspec.Struct, frozen=True, array_like=True, tag=4):
-    """A dispatcher tells a front the load of sets it asked for.
-
-    ``fronts`` counts the fronts that send work to the dispatcher.
-    """
+    """A dispatcher tells a front the load of sets it asked for."""
 
     sets: tuple[SetLoad, ...]
-    fronts: int = 1
 
 
 class Claim(msgspec.Struct, frozen=True, array_like=True, tag=5):
