Stop a suspect request's other calls; hedge later and less

Change: the defaults are a budget of 2% and the 0.98 quantile. News of a crash cancels the request's other calls, which then run as trials. A job held back as a suspect no longer corrupts the queue's counts when it is cancelled.

--- a/packages/daemon/src/godwitflow/daemon/dispatch.py
+++ b/packages/daemon/src/godwitflow/daemon/dispatch.py
@@ -101,6 +101,11 @@
             self.suspects.learn(
                 entry.fingerprint, entry.crashes, self.now_ms()
             )
+            self._stop_suspect(entry.fingerprint)
+
+    def _stop_suspect(self, fingerprint: ids.Fingerprint) -> None:
+        for key, found in self.sets.items():
+            self._perform(key, found, found.on_suspicion(fingerprint))
 
     # Sets -------------------------------------------------------------
 
@@ -219,6 +224,8 @@
             for job in action.jobs
         )
         self.on_crash(messages.Suspicions(entries))
+        for entry in entries:
+            self._stop_suspect(entry.fingerprint)
 
     on_crash: typing.Callable[[messages.Suspicions], None]
     """Called with the suspects of a crash, to spread them."""
--- a/packages/lab/src/godwitflow/lab/model_network.py
+++ b/packages/lab/src/godwitflow/lab/model_network.py
@@ -83,7 +83,12 @@
             if (upstream, connection.id) not in self.silent:
                 self.clock.after(WIRE_MS, finish, result)
 
+        def lost() -> None:
+            left_ms = call.sent_at_ms + timeout_ms - self.clock.now_ms
+            self.clock.after(left_ms, finish, jobs.CallTimedOut())
+
         work.done = reply
+        work.lost = lost
         call.finish = finish  # type: ignore[attr-defined]
         delay_ms = WIRE_MS
         if table.opened > opened_before:
@@ -91,7 +96,8 @@
         if (upstream, connection.id) not in self.silent:
             target = self.upstreams[upstream]
             self.clock.after(delay_ms, target.submit, work)
-        self.clock.after(timeout_ms, finish, jobs.CallTimedOut())
+        else:
+            lost()
         return call
 
     def abort(self, call: CallInFlight) -> None:
--- a/packages/lab/src/godwitflow/lab/model_upstream.py
+++ b/packages/lab/src/godwitflow/lab/model_upstream.py
@@ -24,6 +24,7 @@
 
     items: tuple[jobs.Job, ...]
     done: Done
+    lost: typing.Callable[[], None] = lambda: None
     started_at_ms: float = 0.0
     running: bool = False
     over: bool = False
@@ -72,6 +73,7 @@
     def submit(self, work: Work) -> None:
         """Take a call that has arrived."""
         if self.dark:
+            work.lost()
             return
         if self.down:
             work.over = True
@@ -162,6 +164,11 @@
 
     def go_dark(self) -> None:
         """Vanish without closing anything, as a lost VM does."""
+        lost = list(self._running) + list(self._queue)
         for work in list(self._running):
             self._leave(work)
+        self._queue.clear()
         self.dark = True
+        for work in lost:
+            if not work.over:
+                work.lost()
--- a/packages/policy/src/godwitflow/policy/dispatcher.py
+++ b/packages/policy/src/godwitflow/policy/dispatcher.py
@@ -444,7 +444,9 @@
         actions: list[jobs.Action] = []
         by_piece = {item.piece: item for item in result.items}
         for job in call.jobs:
-            item = by_piece.get(job.piece_key, jobs.ItemFailed(job.piece_key))
+            item = by_piece.get(job.piece_key)
+            if item is None:
+                item = jobs.ItemFailed(job.piece_key)
             actions += self._on_item(now_ms, call, job, item)
         return actions
 
@@ -460,6 +462,7 @@
         match item:
             case jobs.ItemOk(snapshot=snapshot, shard=shard):
                 if snapshot != job.snapshot or shard != job.shard:
+                    job.may_have_run = True
                     return self._wrong_snapshot(job)
                 return self._answer(now_ms, call, job, item)
             case jobs.ItemShed(retry_after_ms=retry_after_ms):
@@ -520,11 +523,31 @@
         job.wrong_snapshots += 1
         if job.calls:
             return []
-        if job.idempotent and self.replicas.has_untried(job.tried):
+        safe = job.idempotent or not job.may_have_run
+        if safe and self.replicas.has_untried(job.tried):
             self._requeue(job)
             return []
         self._finish(job)
-        return [self._refuse(job, messages.PieceStatus.WRONG_SNAPSHOT)]
+        ran = answers.Ran.NOT_RUN
+        if job.may_have_run:
+            ran = answers.Ran.UNKNOWN
+        status = messages.PieceStatus.WRONG_SNAPSHOT
+        return [self._refuse(job, status, ran)]
+
+    def on_suspicion(self, fingerprint: ids.Fingerprint) -> list[jobs.Action]:
+        """Stop calls of a request that has just crashed an upstream.
+
+        What is stopped before it ran is tried again, as a suspect.
+        """
+        actions: list[jobs.Action] = []
+        for call in self.calls.values():
+            if call.cancelled:
+                continue
+            if any(job.fingerprint == fingerprint for job in call.jobs):
+                call.cancelled = True
+                cancel = jobs.CancelCall(call.id, call.upstream.id)
+                actions.append(cancel)
+        return actions
 
     def _on_crash(self, now_ms: float, call: calls.Call) -> list[jobs.Action]:
         self.counts["crashes"] += 1
--- a/packages/policy/src/godwitflow/policy/jobs.py
+++ b/packages/policy/src/godwitflow/policy/jobs.py
@@ -13,6 +13,7 @@
 
     ``client`` is the front's node; ``piece`` is unique within it.
     ``alone`` keeps a job out of batches after a batch has crashed.
+    ``piece_key`` is the correlation id that the upstream echoes.
     """
 
     client: str
@@ -39,11 +40,11 @@
     may_have_run: bool = False
     alone: bool = False
     done: bool = False
+    queued: bool = False
+    piece_key: str = dataclasses.field(init=False)
 
-    @property
-    def piece_key(self) -> str:
-        """The correlation id that the upstream echoes."""
-        return f"{self.client}/{self.piece}"
+    def __post_init__(self) -> None:
+        self.piece_key = f"{self.client}/{self.piece}"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/policy/src/godwitflow/policy/scheduler.py
+++ b/packages/policy/src/godwitflow/policy/scheduler.py
@@ -23,6 +23,7 @@
     deadline_at_ms: float
     order: int
     done: bool
+    queued: bool
 
 
 Item = typing.TypeVar("Item", bound=Entry)
@@ -55,13 +56,15 @@
         rank = min(item.rank, len(self.floors) - 1)
         entry = (item.deadline_at_ms, item.order, next(self._serial), item)
         heapq.heappush(self._heaps[rank], entry)
+        item.queued = True
         self.counts[rank] += 1
         self.waiting += 1
 
     def discard(self, item: Item) -> None:
         """Mark an item as cancelled; its entry is skipped later."""
-        if not item.done:
-            item.done = True
+        item.done = True
+        if item.queued:
+            item.queued = False
             self.counts[min(item.rank, len(self.floors) - 1)] -= 1
             self.waiting -= 1
 
@@ -111,6 +114,7 @@
         item = self.peek(rank)
         assert item is not None
         heapq.heappop(self._heaps[rank])
+        item.queued = False
         self.counts[rank] -= 1
         self.waiting -= 1
         return item
--- a/packages/settings/src/godwitflow/settings/config.py
+++ b/packages/settings/src/godwitflow/settings/config.py
@@ -38,8 +38,8 @@
 class Hedge:
     """When a slow piece is sent to a second replica, and how often."""
 
-    budget_share: float = 0.03
-    quantile: float = 0.95
+    budget_share: float = 0.02
+    quantile: float = 0.98
     min_delay_ms: float = 5.0
 
 
@@ -139,8 +139,8 @@
 HEDGE = schema.Table(
     Hedge,
     (
-        schema.Field("budget_share", schema.Number(0, 0.5), 0.03),
-        schema.Field("quantile", schema.Number(0.5, 0.9999), 0.95),
+        schema.Field("budget_share", schema.Number(0, 0.5), 0.02),
+        schema.Field("quantile", schema.Number(0.5, 0.9999), 0.98),
         schema.Field("min_delay_ms", _MS, 5.0),
     ),
 )
