--- a/packages/lab/src/godwitflow/lab/virtual.py
+++ b/packages/lab/src/godwitflow/lab/virtual.py
@@ -17,19 +17,23 @@
         self, time_ms: float, work: typing.Callable, *args: typing.Any
     ) -> None:
         """Run work at a time, or now where that has passed."""
-        when_ms = max(time_ms, self.now_ms)
-        heapq.heappush(self._events, (when_ms, next(self._serial), work, args))
+        when_ms = time_ms if time_ms > self.now_ms else self.now_ms
+        event = (when_ms, next(self._serial), work, args)
+        heapq.heappush(self._events, event)
 
     def after(
         self, delay_ms: float, work: typing.Callable, *args: typing.Any
     ) -> None:
-        """Run work after a delay."""
-        self.at(self.now_ms + delay_ms, work, *args)
+        """Run work after a delay, which is not negative."""
+        when_ms = self.now_ms + delay_ms
+        event = (when_ms, next(self._serial), work, args)
+        heapq.heappush(self._events, event)
 
     def run(self, until_ms: float) -> None:
         """Run every event up to a time."""
         events = self._events
+        pop = heapq.heappop
         while events and events[0][0] <= until_ms:
-            self.now_ms, _, work, args = heapq.heappop(events)
+            self.now_ms, _, work, args = pop(events)
             work(*args)
         self.now_ms = until_ms
--- a/packages/policy/src/godwitflow/policy/dispatcher.py
+++ b/packages/policy/src/godwitflow/policy/dispatcher.py
@@ -7,6 +7,7 @@
 
 import collections
 import itertools
+import math
 
 from godwitflow.model import answers
 from godwitflow.model import ids
@@ -27,8 +28,9 @@
 MAX_ASIDE = 8
 BUSY_WEIGHT = 0.02
 SHARE_WEIGHT = 0.02
+MIN_SHARE = 0.02
 URGENT_RECENT_MS = 1_000.0
-RESERVE_SHARE = 0.15
+RESERVE_SHARE = 0.2
 RESERVE_FROM_BUSY = 0.75
 MAX_TRIES = 3
 EXPIRY_CHECK_MS = 10.0
@@ -302,7 +304,7 @@
         A share of the slots stays free for more urgent ranks that have
         had work lately, since a running call cannot be preempted.
         """
-        reserve = max(1, round(survey.limit * RESERVE_SHARE))
+        reserve = math.ceil(survey.limit * RESERVE_SHARE)
         last = len(self._arrived_at_ms) - 1
         if survey.free > reserve or survey.limit <= 2 * reserve:
             return last
@@ -634,7 +636,8 @@
             )
             return max(0.1, 1.0 - sum(kept))
         more_urgent = sum(self._start_shares[:rank])
-        return max(self.floors[rank], 1.0 - more_urgent, 0.02)
+        floor = self.floors[rank] * scheduler.FLOOR_MARGIN
+        return max(floor, 1.0 - more_urgent, MIN_SHARE)
 
     def wait_ms(self, rank: int) -> float:
         """Return how long a new job of a rank would queue."""
--- a/packages/policy/src/godwitflow/policy/replicas.py
+++ b/packages/policy/src/godwitflow/policy/replicas.py
@@ -52,8 +52,10 @@
             return
         self.slots = slots
         for upstream in self.by_id.values():
+            warm = upstream.limit == upstream.slots
             upstream.slots = slots
-            upstream.limit = min(upstream.limit, slots)
+            if warm or upstream.limit > slots:
+                upstream.limit = slots
 
     def set_leaving(self, leaving: frozenset[ids.UpstreamId]) -> None:
         """Mark upstreams that take no new work from now on."""
--- /dev/null
+++ b/packages/policy/tests/builders.py
@@ -0,0 +1,69 @@
+"""Values that several tests build."""
+
+from godwitflow.model import ids
+from godwitflow.policy import dispatcher
+from godwitflow.policy import jobs
+from godwitflow.policy import suspects
+from godwitflow.settings import config
+
+PRIORITIES = {
+    "steward": config.Priority(0, 150.0, 600.0),
+    "conductor": config.Priority(1, 500.0, 1_500.0, 0.2),
+    "clerk": config.Priority(2, 2_000.0, 4_000.0, 0.05),
+}
+
+
+def service(**changes):
+    """A service of three ranks and two slots an upstream."""
+    return config.Service("index/s", PRIORITIES, **changes)
+
+
+def replica_set(members=("a", "b", "c"), table=None, cold=False, **changes):
+    """A replica set of upstreams that have done nothing yet."""
+    return dispatcher.ReplicaSet(
+        "r0",
+        service(**changes),
+        members,
+        table or suspects.Suspects(),
+        seed=1,
+        cold=cold,
+    )
+
+
+def job(piece, **changes):
+    """One idempotent piece of the most urgent rank."""
+    fields = {
+        "client": "f1",
+        "piece": ids.PieceId(piece),
+        "query_id": f"q{piece}",
+        "service": "s",
+        "shard": "s0",
+        "snapshot": 1,
+        "rank": 0,
+        "deadline_at_ms": 600.0,
+        "order": piece,
+        "idempotent": True,
+        "canary": False,
+        "fingerprint": piece,
+        "payload": b"1",
+    }
+    return jobs.Job(**{**fields, **changes})
+
+
+def ok(work, snapshot=1):
+    """A whole reply to each job of a call."""
+    items = tuple(
+        jobs.ItemOk(item.piece_key, item.shard, snapshot, b"[1]")
+        for item in work.jobs
+    )
+    return jobs.CallDone(items)
+
+
+def starts(actions):
+    """The calls that actions start."""
+    return [item for item in actions if isinstance(item, jobs.StartCall)]
+
+
+def replies(actions):
+    """The replies among actions."""
+    return [item for item in actions if isinstance(item, jobs.Reply)]
--- /dev/null
+++ b/packages/policy/tests/test_journal.py
@@ -0,0 +1,294 @@
+"""The journal, explored over every order of small interleavings."""
+
+import copy
+import dataclasses
+import unittest
+
+from godwitflow.model import answers
+from godwitflow.policy import journal
+from godwitflow.wire import messages
+
+VERDICTS = messages.ClaimVerdict
+KEY = "seats/booking-1"
+LATE_MS = 10_000.0
+
+
+@dataclasses.dataclass
+class Op:
+    """A store call of a node; ``result`` is set once it is known."""
+
+    node: int
+    life: int
+    action: object
+    at_store: bool = False
+    result: tuple | None = None
+
+
+@dataclasses.dataclass
+class World:
+    """Two nodes, one key, a claim and its resend, faults to spend."""
+
+    conditional: bool
+    value: bytes = b""
+    version: int = 0
+    nodes: list = dataclasses.field(default_factory=list)
+    lives: list = dataclasses.field(default_factory=lambda: [0, 0])
+    ops: list = dataclasses.field(default_factory=list)
+    verdicts: dict = dataclasses.field(default_factory=dict)
+    sent: list = dataclasses.field(default_factory=list)
+    runs: int = 0
+    faults: int = 2
+
+    def perform(self, node, actions):
+        for action in actions:
+            match action:
+                case journal.ReplyClaim(reply=reply):
+                    self.verdicts[reply.claim] = reply.verdict.name
+                    if reply.verdict is VERDICTS.CLAIMED:
+                        self.runs += 1
+                case _:
+                    self.ops.append(Op(node, self.lives[node], action))
+
+    def claim(self, number, node):
+        self.sent.append(number)
+        claim = messages.Claim(number, 0, KEY, f"f/{number}", 1_000.0)
+        self.perform(node, self.nodes[node].claim(0.0, 0.0, "f", claim))
+
+    def reach_store(self, op):
+        """Let a call take effect at the store."""
+        op.at_store = True
+        match op.action:
+            case journal.Read():
+                op.result = ("read", self.value, self.version)
+            case journal.Write(value=value, version=version):
+                if self.conditional and version != self.version:
+                    op.result = ("conflict",)
+                else:
+                    self.value, self.version = value, self.version + 1
+                    op.result = ("written", self.version)
+
+    def deliver(self, op, result):
+        """Give a node the result of its call, if it still lives."""
+        if self.lives[op.node] != op.life:
+            return
+        partition = self.nodes[op.node]
+        match result:
+            case ("read", value, version):
+                actions = partition.on_read(0.0, 0.0, value, version)
+            case ("written", version):
+                actions = partition.on_written(0.0, 0.0, version)
+            case ("conflict",):
+                actions = partition.on_conflict()
+            case ("unknown",):
+                actions = partition.on_unknown()
+            case ("unavailable",):
+                actions = partition.on_unavailable(0.0)
+        self.perform(op.node, actions)
+
+    def key(self):
+        nodes = tuple(
+            (
+                node.state,
+                node.version,
+                tuple(sorted(node.entries)),
+                tuple(entry.claimer for entry in node.entries.values()),
+                tuple(sorted(node._writing)),
+                tuple((p.claim, p.written) for p in node._claims),
+                len(node._outcomes),
+                len(node._writing_outcomes),
+            )
+            for node in self.nodes
+        )
+        ops = tuple(
+            (op.node, op.life, repr(op.action), op.at_store, op.result)
+            for op in self.ops
+        )
+        return (
+            self.value,
+            self.version,
+            nodes,
+            ops,
+            tuple(sorted(self.verdicts.items())),
+            tuple(self.sent),
+            tuple(self.lives),
+            self.runs,
+            self.faults,
+        )
+
+
+def partition():
+    return journal.Partition(0, 60_000.0, 0.0)
+
+
+def moves(world):
+    """Yield a function for each thing that may happen next."""
+    for number in (1, 2):
+        if number not in world.sent:
+            for node in (0, 1):
+                yield lambda w, n=number, m=node: w.claim(n, m)
+    for place, op in enumerate(world.ops):
+        if not op.at_store:
+            yield lambda w, p=place: w.reach_store(w.ops[p])
+        if op.result is not None:
+            yield lambda w, p=place: deliver(w, p)
+        if world.faults:
+            yield lambda w, p=place: lose_answer(w, p)
+            if not op.at_store:
+                yield lambda w, p=place: refuse(w, p)
+    if world.faults:
+        for node in (0, 1):
+            yield lambda w, n=node: crash(w, n)
+            yield lambda w, n=node: expire(w, n)
+
+
+def deliver(world, place):
+    op = world.ops.pop(place)
+    world.deliver(op, op.result)
+
+
+def lose_answer(world, place):
+    """The caller gives up; a write may still reach the store later."""
+    world.faults -= 1
+    op = world.ops[place]
+    if isinstance(op.action, journal.Read):
+        world.ops.pop(place)
+        world.deliver(op, ("unavailable",))
+        return
+    ghost = dataclasses.replace(op, life=-1)
+    world.ops[place] = ghost
+    if op.at_store:
+        world.ops.pop(place)
+    world.deliver(op, ("unknown",))
+
+
+def refuse(world, place):
+    world.faults -= 1
+    op = world.ops.pop(place)
+    world.deliver(op, ("unavailable",))
+
+
+def crash(world, node):
+    world.faults -= 1
+    world.lives[node] += 1
+    world.nodes[node] = partition()
+
+
+def expire(world, node):
+    """Time passes for a node: claims that waited are refused."""
+    world.faults -= 1
+    world.perform(node, world.nodes[node].step(LATE_MS, 0.0))
+
+
+def explore(conditional):
+    """Visit every order; return the states seen and the most runs."""
+    start = World(conditional)
+    start.nodes = [partition(), partition()]
+    seen = {start.key()}
+    waiting = [start]
+    most = 0
+    while waiting:
+        world = waiting.pop()
+        most = max(most, world.runs)
+        if most > 1:
+            break
+        for move in moves(world):
+            after = copy.deepcopy(world)
+            move(after)
+            key = after.key()
+            if key not in seen:
+                seen.add(key)
+                waiting.append(after)
+    return len(seen), most
+
+
+class ExploreTest(unittest.TestCase):
+    def test_at_most_one_run_in_every_order(self):
+        states, most = explore(conditional=True)
+        print(f"journal: {states} states seen")
+        self.assertGreater(states, 1_000)
+        self.assertEqual(1, most)
+
+    def test_dropping_the_conditional_update_is_caught(self):
+        _, most = explore(conditional=False)
+        self.assertGreater(most, 1)
+
+
+class PartitionTest(unittest.TestCase):
+    def setUp(self):
+        self.partition = partition()
+
+    def claim(self, number, key=KEY):
+        claim = messages.Claim(number, 0, key, f"f/{number}", 1_000.0)
+        return self.partition.claim(0.0, 0.0, "f", claim)
+
+    def verdicts(self, actions):
+        return [
+            (action.reply.claim, action.reply.verdict)
+            for action in actions
+            if isinstance(action, journal.ReplyClaim)
+        ]
+
+    def test_claims_in_waiting_are_committed_together(self):
+        self.claim(1, "a")
+        self.claim(2, "b")
+        (write,) = self.partition.on_read(0.0, 0.0, b"", 0)
+        self.assertEqual({"a", "b"}, set(journal.decode(write.value)))
+        done = self.partition.on_written(0.0, 0.0, 1)
+        self.assertEqual(
+            [(1, VERDICTS.CLAIMED), (2, VERDICTS.CLAIMED)],
+            self.verdicts(done),
+        )
+        self.assertEqual(1, self.partition.writes)
+
+    def test_resend_learns_the_outcome(self):
+        self.claim(1)
+        self.partition.on_read(0.0, 0.0, b"", 0)
+        self.partition.on_written(0.0, 0.0, 1)
+        again = self.verdicts(self.claim(2))
+        self.assertEqual([(2, VERDICTS.UNKNOWN_BEFORE)], again)
+        ran = messages.Outcome(0, KEY, "f/1", answers.Ran.RAN, "shard s3")
+        self.partition.outcome(0.0, 0.0, ran)
+        self.partition.on_written(0.0, 0.0, 2)
+        (reply,) = self.claim(3)
+        self.assertEqual(VERDICTS.RAN_BEFORE, reply.reply.verdict)
+        self.assertEqual("shard s3", reply.reply.note)
+
+    def test_not_run_frees_the_key(self):
+        self.claim(1)
+        self.partition.on_read(0.0, 0.0, b"", 0)
+        self.partition.on_written(0.0, 0.0, 1)
+        free = messages.Outcome(0, KEY, "f/1", answers.Ran.NOT_RUN)
+        self.partition.outcome(0.0, 0.0, free)
+        self.partition.on_written(0.0, 0.0, 2)
+        self.claim(2)
+        done = self.partition.on_written(0.0, 0.0, 3)
+        self.assertEqual([(2, VERDICTS.CLAIMED)], self.verdicts(done))
+
+    def test_store_down_is_not_run(self):
+        self.claim(1)
+        failed = self.partition.on_unavailable(0.0)
+        self.assertEqual([(1, VERDICTS.UNAVAILABLE)], self.verdicts(failed))
+
+    def test_outcome_survives_a_conflict(self):
+        self.claim(1)
+        (write,) = self.partition.on_read(0.0, 0.0, b"", 0)
+        self.partition.on_written(0.0, 0.0, 1)
+        ran = messages.Outcome(0, KEY, "f/1", answers.Ran.RAN, "x")
+        self.partition.outcome(0.0, 0.0, ran)
+        self.partition.on_conflict()
+        (again,) = self.partition.on_read(0.0, 0.0, write.value, 5)
+        entry = journal.decode(again.value)[KEY]
+        self.assertIs(answers.Ran.RAN, entry.ran)
+
+    def test_entries_leave_after_the_retention(self):
+        old = journal.encode([journal.Entry("old", "f/0", 1.0)])
+        self.claim(1)
+        (write,) = self.partition.on_read(0.0, 100_000.0, old, 4)
+        self.assertEqual({KEY}, set(journal.decode(write.value)))
+
+    def test_stale_read_is_not_trusted(self):
+        self.claim(1)
+        self.partition.on_read(0.0, 0.0, b"", 3)
+        self.partition.on_unknown()
+        failed = self.partition.on_read(0.0, 0.0, b"", 2)
+        self.assertEqual([(1, VERDICTS.UNAVAILABLE)], self.verdicts(failed))
--- /dev/null
+++ b/packages/policy/tests/test_query_run.py
@@ -0,0 +1,269 @@
+"""Tests of one query at its front, against a naive gather."""
+
+import itertools
+import json
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from godwitflow.model import answers
+from godwitflow.model import index
+from godwitflow.policy import query_run
+from godwitflow.wire import messages
+
+OK = messages.PieceStatus.OK
+INDEX = index.Index(
+    "s",
+    3,
+    {f"r{n}": (f"http://u{n}",) for n in range(4)},
+    {f"s{n}": f"r{n}" for n in range(4)},
+)
+NEWER = index.Index(
+    "s",
+    4,
+    INDEX.replica_sets,
+    {**{f"s{n}": f"r{n}" for n in range(3)}, "s3a": "r3", "s3b": "r3"},
+)
+SETTINGS = hypothesis.settings(
+    derandomize=True, deadline=None, max_examples=300, database=None
+)
+
+
+def request(**changes):
+    fields = {
+        "query_id": "q1",
+        "trace_id": "",
+        "service": "s",
+        "rank": 0,
+        "order": 1,
+        "started_at_ms": 0.0,
+        "deadline_at_ms": 100.0,
+        "least_coverage": 0.0,
+        "idempotent": True,
+        "fingerprint": 6,
+        "payload": b"1",
+    }
+    return query_run.Request(**{**fields, **changes})
+
+
+def new_run(owners=("n1", "n2"), **changes):
+    return query_run.QueryRun(
+        request(**changes), INDEX, lambda _: list(owners), itertools.count(1)
+    )
+
+
+def sends(actions):
+    return [a for a in actions if isinstance(a, query_run.SendPieces)]
+
+
+def finish(actions):
+    found = [a for a in actions if isinstance(a, query_run.Finish)]
+    return found[0].result if found else None
+
+
+def reply(ref, snapshot=3, status=OK, ran=answers.Ran.RAN, rows=None):
+    if rows is None:
+        rows = b'["%s@%d"]' % (ref.shard.encode(), snapshot)
+    return messages.Piece(ref.piece, ref.shard, snapshot, status, ran, rows)
+
+
+def refs_of(actions):
+    return [ref for item in sends(actions) for ref in item.scatter.pieces]
+
+
+class QueryRunTest(unittest.TestCase):
+    def answer_all(self, run, refs, **changes):
+        result = None
+        for ref in refs:
+            _, actions = run.on_piece(10.0, reply(ref, **changes))
+            result = result or finish(actions)
+        return result
+
+    def test_whole_answer(self):
+        run = new_run()
+        result = self.answer_all(run, refs_of(run.start(0.0)))
+        self.assertTrue(result.coverage.complete)
+        self.assertEqual(
+            ["s0@3", "s1@3", "s2@3", "s3@3"],
+            json.loads(bytes(result.rows)),
+        )
+
+    def test_partial_answer_names_what_is_missing(self):
+        run = new_run()
+        refs = refs_of(run.start(0.0))
+        self.answer_all(run, refs[:3])
+        result = finish(run.on_deadline(98.0))
+        self.assertEqual(("s3",), result.coverage.missing)
+        self.assertEqual(0.75, result.coverage.share)
+
+    def test_least_coverage_refuses_as_soon_as_it_is_out_of_reach(self):
+        run = new_run(least_coverage=1.0)
+        refs = refs_of(run.start(0.0))
+        shed = reply(
+            refs[0],
+            status=messages.PieceStatus.SHED,
+            ran=answers.Ran.NOT_RUN,
+        )
+        _, actions = run.on_piece(1.0, shed)
+        result = finish(actions)
+        self.assertIs(answers.RefusalCode.SHED, result.code)
+        cancels = [a for a in actions if isinstance(a, query_run.CancelPieces)]
+        self.assertEqual(3, sum(len(item.pieces) for item in cancels))
+
+    def test_not_run_only_where_no_piece_may_have_run(self):
+        for ran, expected in (
+            (answers.Ran.NOT_RUN, answers.Ran.NOT_RUN),
+            (answers.Ran.UNKNOWN, answers.Ran.UNKNOWN),
+        ):
+            run = new_run()
+            refs = refs_of(run.start(0.0))
+            result = None
+            for ref in refs:
+                lost = reply(ref, status=messages.PieceStatus.FAILED, ran=ran)
+                result = finish(run.on_piece(1.0, lost)[1]) or result
+            self.assertIs(expected, result.ran)
+
+    def test_deadline_with_pieces_out_may_have_run(self):
+        run = new_run()
+        run.start(0.0)
+        result = finish(run.on_deadline(98.0))
+        self.assertIs(answers.Ran.UNKNOWN, result.ran)
+
+    def test_canary_goes_alone_and_first(self):
+        run = new_run(canary=True)
+        (first,) = refs_of(run.start(0.0))
+        _, actions = run.on_piece(5.0, reply(first))
+        rest = refs_of(actions)
+        self.assertEqual(3, len(rest))
+        self.assertTrue(self.answer_all(run, rest).coverage.complete)
+
+    def test_crashing_canary_reaches_no_other_shard(self):
+        run = new_run(canary=True)
+        (first,) = refs_of(run.start(0.0))
+        suspect = reply(
+            first,
+            status=messages.PieceStatus.SUSPECT,
+            ran=answers.Ran.UNKNOWN,
+        )
+        _, actions = run.on_piece(5.0, suspect)
+        self.assertEqual([], sends(actions))
+        self.assertIs(answers.RefusalCode.SUSPECT, finish(actions).code)
+
+    def test_silent_owner_is_replaced_once(self):
+        run = new_run()
+        run.start(0.0)
+        actions = run.on_node_lost(10.0, "n1")
+        self.assertEqual({"n2"}, {item.node for item in sends(actions)})
+        self.assertEqual(4, len(refs_of(actions)))
+        result = finish(run.on_node_lost(20.0, "n2"))
+        self.assertIs(answers.Ran.UNKNOWN, result.ran)
+
+    def test_booking_with_a_silent_owner_is_unknown_and_not_resent(self):
+        run = new_run(idempotent=False, shard_key="k")
+        run.start(0.0)
+        actions = run.on_node_lost(10.0, "n1")
+        self.assertEqual([], sends(actions))
+        result = finish(actions)
+        self.assertIs(answers.RefusalCode.OUTCOME_UNKNOWN, result.code)
+
+    def test_retired_snapshot_starts_over_once_as_a_whole(self):
+        run = new_run()
+        refs = refs_of(run.start(0.0))
+        run.on_piece(1.0, reply(refs[0]))
+        gone = reply(
+            refs[1],
+            status=messages.PieceStatus.WRONG_SNAPSHOT,
+            ran=answers.Ran.NOT_RUN,
+        )
+        _, actions = run.on_piece(2.0, gone)
+        self.assertEqual([], actions)
+        actions = run.on_index(3.0, NEWER)
+        fresh = refs_of(actions)
+        self.assertEqual(5, len(fresh))
+        run.on_piece(4.0, reply(refs[2]))
+        result = self.answer_all(run, fresh, snapshot=4)
+        self.assertEqual(4, result.snapshot)
+        rows = json.loads(bytes(result.rows))
+        self.assertEqual({"4"}, {row.split("@")[1] for row in rows})
+
+    def test_dispatcher_without_the_index_is_passed_over(self):
+        run = new_run()
+        refs = refs_of(run.start(0.0))
+        unavailable = reply(
+            refs[0],
+            status=messages.PieceStatus.UNAVAILABLE,
+            ran=answers.Ran.NOT_RUN,
+        )
+        _, actions = run.on_piece(1.0, unavailable)
+        self.assertEqual(["n2"], [item.node for item in sends(actions)])
+
+    def test_no_owner_at_all_is_a_refusal_not_a_crash(self):
+        run = new_run(owners=())
+        result = finish(run.start(0.0))
+        self.assertIs(answers.Ran.NOT_RUN, result.ran)
+
+
+KINDS = strategies.sampled_from(
+    ("good", "good", "good", "wrong", "truncated", "crossed", "shed")
+)
+
+
+def spoil(kind, refs, place):
+    ref = refs[place]
+    match kind:
+        case "wrong":
+            return reply(ref, snapshot=9)
+        case "truncated":
+            return reply(ref, rows=b'["x"')
+        case "crossed":
+            other = refs[(place + 1) % len(refs)]
+            return reply(messages.Ref(ref.piece, other.shard, ""))
+        case "shed":
+            return reply(ref, status=messages.PieceStatus.SHED)
+        case _:
+            return reply(ref)
+
+
+def oracle(refs, stream):
+    """Shards that answer: the first piece to settle each one counts."""
+    settled = {}
+    for kind, place in stream:
+        if kind in ("good", "shed") and place not in settled:
+            settled[place] = kind
+    good = [place for place, kind in settled.items() if kind == "good"]
+    return sorted(f"{refs[place].shard}@3" for place in good)
+
+
+class DifferentialTest(unittest.TestCase):
+    @SETTINGS
+    @hypothesis.given(
+        strategies.lists(
+            strategies.tuples(KINDS, strategies.integers(0, 3)), max_size=16
+        )
+    )
+    def test_same_rows_as_the_oracle(self, stream):
+        run = new_run()
+        refs = refs_of(run.start(0.0))
+        result = None
+        used = []
+        for kind, place in stream:
+            if result is not None:
+                break
+            used.append((kind, place))
+            _, actions = run.on_piece(1.0, spoil(kind, refs, place))
+            result = finish(actions)
+        result = result or finish(run.on_deadline(99.0))
+        expected = oracle(refs, used)
+        if isinstance(result, answers.Refusal):
+            self.assertEqual([], expected)
+            return
+        rows = sorted(json.loads(bytes(result.rows)))
+        late = set(rows) - set(expected)
+        # A shard that was shed may still answer late, and then counts.
+        self.assertLessEqual(set(expected), set(rows))
+        for row in late:
+            place = int(row[1])
+            self.assertIn(("good", place), used)
+        self.assertEqual(len(rows), result.coverage.answered)
+        self.assertEqual(4 - len(rows), len(result.coverage.missing))
--- /dev/null
+++ b/packages/policy/tests/test_scheduler.py
@@ -0,0 +1,146 @@
+"""The scheduler against a plain sorted list."""
+
+import dataclasses
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from godwitflow.policy import scheduler
+
+FLOORS = (0.0, 0.25, 0.1)
+SETTINGS = hypothesis.settings(
+    derandomize=True, deadline=None, max_examples=300, database=None
+)
+
+
+@dataclasses.dataclass(eq=False)
+class Item:
+    rank: int
+    deadline_at_ms: float
+    order: int
+    serial: int = 0
+    done: bool = False
+    queued: bool = False
+
+
+class Naive:
+    """A list, sorted anew for each pop."""
+
+    def __init__(self, floors):
+        self.floors = floors
+        self.credits = [0.0] * len(floors)
+        self.items = []
+        self.serial = 0
+
+    def push(self, item):
+        self.serial += 1
+        self.items.append((item, self.serial))
+
+    def discard(self, item):
+        self.items = [row for row in self.items if row[0] is not item]
+
+    def pop(self, allowed):
+        waiting = {row[0].rank for row in self.items}
+        due = [
+            rank
+            for rank in range(1, len(self.floors))
+            if rank in waiting and self.credits[rank] >= 1.0
+        ]
+        fit = [rank for rank in sorted(waiting) if rank <= allowed]
+        if not due and not fit:
+            return None
+        rank = (due or fit)[0]
+        if self.credits[rank] >= 1.0:
+            self.credits[rank] -= 1.0
+        for other in range(1, len(self.floors)):
+            share = self.floors[other] * scheduler.FLOOR_MARGIN
+            raised = self.credits[other] + share
+            self.credits[other] = min(scheduler.CREDIT_CAP, raised)
+        mine = [row for row in self.items if row[0].rank == rank]
+        mine.sort(
+            key=lambda row: (row[0].deadline_at_ms, row[0].order, row[1])
+        )
+        self.items.remove(mine[0])
+        return mine[0][0]
+
+
+PUSH = strategies.tuples(
+    strategies.just("push"),
+    strategies.integers(0, 2),
+    strategies.integers(0, 5),
+    strategies.integers(0, 3),
+)
+POP = strategies.tuples(strategies.just("pop"), strategies.integers(0, 2))
+DISCARD = strategies.tuples(
+    strategies.just("discard"), strategies.integers(0, 30)
+)
+STEPS = strategies.lists(PUSH | PUSH | POP | DISCARD, max_size=60)
+
+
+def agrees(kind, steps):
+    real, naive = kind(FLOORS), Naive(FLOORS)
+    pushed = []
+    for step in steps:
+        match step:
+            case ("push", rank, deadline, order):
+                item = Item(rank, float(deadline), order)
+                pushed.append(item)
+                real.push(item)
+                naive.push(item)
+            case ("pop", allowed):
+                if real.pop(allowed) is not naive.pop(allowed):
+                    return False
+            case ("discard", place) if place < len(pushed):
+                real.discard(pushed[place])
+                naive.discard(pushed[place])
+        if real.waiting != len(naive.items):
+            return False
+    return True
+
+
+class NoDeadline(scheduler.Scheduler):
+    """A mutation: first come, first served within a rank."""
+
+    def push(self, item):
+        item.deadline_at_ms, kept = 0.0, item.deadline_at_ms
+        super().push(item)
+        item.deadline_at_ms = kept
+
+
+class NoFloor(scheduler.Scheduler):
+    """A mutation: floors are forgotten."""
+
+    def due(self):
+        return None
+
+
+class SchedulerTest(unittest.TestCase):
+    @SETTINGS
+    @hypothesis.given(STEPS)
+    def test_same_as_sorted_list(self, steps):
+        self.assertTrue(agrees(scheduler.Scheduler, steps))
+
+    def test_mutations_are_caught(self):
+        for mutation in (NoDeadline, NoFloor):
+            found = hypothesis.find(
+                STEPS,
+                lambda steps, kind=mutation: not agrees(kind, steps),
+                settings=hypothesis.settings(SETTINGS, max_examples=3000),
+            )
+            self.assertTrue(found)
+
+    def test_floor_holds_under_an_urgent_flood(self):
+        queue = scheduler.Scheduler(FLOORS)
+        for serial in range(2000):
+            queue.push(Item(serial % 3, 0.0, serial))
+        starts = [queue.pop(2).rank for _ in range(400)]
+        self.assertGreaterEqual(starts.count(1), 0.25 * 400 - 4)
+        self.assertGreaterEqual(starts.count(2), 0.10 * 400 - 4)
+
+    def test_expired_items_come_out(self):
+        queue = scheduler.Scheduler(FLOORS)
+        for deadline in (1.0, 2.0, 3.0):
+            queue.push(Item(1, deadline, 0))
+        self.assertEqual(2, len(queue.drop_expired(2.0)))
+        self.assertEqual(1, queue.waiting)
