Prove the whole path over real sockets, with faults

Cause: nothing ran the listeners, the store's outage or a lost node.

Change: tests over loopback for queries, bookings sent again, the store down, a lost answer to a write, a node that vanishes, a request that crashes upstreams, a configuration in force on all, and bad input. A stop now gives up waiting watches and probes; an endless header line gets 400; a request that is condemned is refused as suspect, not as failed; the retry budget starts with two tokens, as nothing was retried at first.

--- a/packages/daemon/src/godwitflow/daemon/control.py
+++ b/packages/daemon/src/godwitflow/daemon/control.py
@@ -261,7 +261,7 @@
         except errors.StoreError:
             failed = True
             self.store_failures += 1
-        if failed:
+        if failed and not self.stopping:
             spread = self.random.uniform(0.5, 1.5)
             await self._pause(WATCH_RETRY_MS * spread)
         self._watching.discard(name)
--- a/packages/daemon/src/godwitflow/daemon/limits.py
+++ b/packages/daemon/src/godwitflow/daemon/limits.py
@@ -71,6 +71,15 @@
         self._stop_timer()
         super().allContentReceived()
 
+    def lineLengthExceeded(self, line: bytes) -> None:
+        """Say why a connection with an endless header line is closed."""
+        transport: typing.Any = self.transport
+        transport.write(
+            b"HTTP/1.1 400 Bad Request\r\nConnection: close\r\n"
+            b"Content-Length: 0\r\n\r\n"
+        )
+        transport.loseConnection()
+
     def connectionLost(self, reason: typing.Any = None) -> None:
         """Stop the timer with the connection."""
         self._stop_timer()
--- a/packages/fakes/src/godwitflow/fakes/platform.py
+++ b/packages/fakes/src/godwitflow/fakes/platform.py
@@ -43,7 +43,8 @@
         return f"http://127.0.0.1:{self._port.getHost().port}"
 
     async def close(self) -> None:
-        """Stop listening."""
+        """Stop listening and let the watches return."""
+        self.store.release()
         await defer.maybeDeferred(self._port.stopListening)
 
     def render(self, request: typing.Any) -> typing.Any:
--- a/packages/lab/tests/test_stage.py
+++ b/packages/lab/tests/test_stage.py
@@ -29,7 +29,9 @@
 CODES = answers.RefusalCode
 
 
-class StageTest(unittest.TestCase):
+class StageCase(unittest.TestCase):
+    """Builds a stage for each test and takes it down again."""
+
     timeout = 60
 
     async def build(self, nodes=2):
@@ -68,6 +70,8 @@
     def runs(self, payload):
         return self.stage.fleet.runs_of(json.dumps(payload))
 
+
+class StageTest(StageCase):
     def test_query_and_booking(self):
         async def work():
             answer = await self.ask()
@@ -101,13 +105,7 @@
             again = await self.book("b2", "key-2")
             self.assertIs(answers.Ran.RAN, again.ran)
 
-        async def publish_vms():
-            pass
-
-        async def main():
-            await work()
-
-        return self.run_with(main)
+        return self.run_with(work)
 
     def test_lost_write_answer_runs_once(self):
         async def work():
@@ -183,7 +181,7 @@
         self.done.callback(self.data)
 
 
-class BadInputTest(StageTest):
+class BadInputTest(StageCase):
     async def raw(self, node, request):
         """Send bytes as they are; return what comes until the end."""
         creator = protocol.ClientCreator(reactor, _Raw)
@@ -271,7 +269,7 @@
             for site in node._sites:
                 for channel in list(site.channels):
                     if channel._request_timer is not None:
-                        channel._too_slow()
+                        channel._request_timer.reset(0)
             await slow
 
         return self.run_with(work)
--- a/packages/platform/src/godwitflow/platform/http.py
+++ b/packages/platform/src/godwitflow/platform/http.py
@@ -40,6 +40,7 @@
         self.reactor = reactor
         self.base_url = base_url.rstrip("/")
         self.calls = 0
+        self._pending: set[defer.Deferred] = set()
         self.pool = web_client.HTTPConnectionPool(reactor)
         self.pool.maxPersistentPerHost = 16
         # A resend of a write by the pool would hide a lost answer.
@@ -50,7 +51,9 @@
         self.client = treq_client.HTTPClient(typing.cast(typing.Any, agent))
 
     async def close(self) -> None:
-        """Close the idle connections."""
+        """Give up the calls under way and close every connection."""
+        for sending in list(self._pending):
+            sending.cancel()
         await self.pool.closeCachedConnections()
 
     async def _call(
@@ -63,6 +66,7 @@
         self.calls += 1
         sending = defer.ensureDeferred(self._exchange(method, path, options))
         sending.addTimeout(timeout_ms / MS_PER_S, self.reactor)
+        self._pending.add(sending)
         try:
             return await sending
         except _NOT_SENT as error:
@@ -71,6 +75,8 @@
             if method == "PUT":
                 raise errors.StoreOutcomeUnknownError(repr(error)) from error
             raise errors.StoreUnavailableError(repr(error)) from error
+        finally:
+            self._pending.discard(sending)
 
     async def _exchange(
         self, method: str, path: str, options: dict[str, typing.Any]
--- a/packages/platform/src/godwitflow/platform/memory.py
+++ b/packages/platform/src/godwitflow/platform/memory.py
@@ -49,6 +49,13 @@
             await self._changed(name, wait_ms)
         return await self.get(name)
 
+    def release(self) -> None:
+        """Let every waiting watch return now."""
+        waiting, self._waiting = self._waiting, {}
+        for queue in waiting.values():
+            while queue:
+                queue.pop().callback(None)
+
     async def _changed(self, name: str, wait_ms: float) -> None:
         waiting: defer.Deferred[None] = defer.Deferred()
         queue = self._waiting.setdefault(name, [])
--- a/packages/policy/src/godwitflow/policy/budget.py
+++ b/packages/policy/src/godwitflow/policy/budget.py
@@ -17,10 +17,12 @@
 
     __slots__ = ("burst", "share", "tokens")
 
-    def __init__(self, share: float, burst: float) -> None:
+    def __init__(
+        self, share: float, burst: float, initial: float = 0.0
+    ) -> None:
         self.share = share
         self.burst = burst
-        self.tokens = 0.0
+        self.tokens = initial
 
     def on_primary(self, count: int = 1) -> None:
         """Refill for primary requests."""
--- a/packages/policy/src/godwitflow/policy/dispatcher.py
+++ b/packages/policy/src/godwitflow/policy/dispatcher.py
@@ -24,6 +24,7 @@
 from godwitflow.wire import messages
 
 RETRY_BURST = 20.0
+RETRY_INITIAL = 2.0
 MAX_QUEUE = 20_000
 MAX_ASIDE = 8
 BUSY_WEIGHT = 0.02
@@ -64,7 +65,7 @@
         self.replicas = replicas.Replicas(members, service.slots, seed, cold)
         self.hedging = hedging.Hedging(service.hedge)
         self.retries = budget.ShareBudget(
-            service.retry_budget_share, RETRY_BURST
+            service.retry_budget_share, RETRY_BURST, RETRY_INITIAL
         )
         self.calls: dict[int, calls.Call] = {}
         self.jobs: dict[tuple[str, ids.PieceId], jobs.Job] = {}
@@ -256,10 +257,7 @@
             aside.append(job)
             return []
         self._finish(job)
-        ran = answers.Ran.NOT_RUN
-        if job.may_have_run:
-            ran = answers.Ran.UNKNOWN
-        return [self._refuse(job, messages.PieceStatus.UNAVAILABLE, ran)]
+        return [self._refuse(job, messages.PieceStatus.UNAVAILABLE, _ran(job))]
 
     def _waits_for_batch(self, now_ms: float) -> bool:
         window_ms = self.service.batch_window_ms
@@ -530,11 +528,8 @@
             self._requeue(job)
             return []
         self._finish(job)
-        ran = answers.Ran.NOT_RUN
-        if job.may_have_run:
-            ran = answers.Ran.UNKNOWN
         status = messages.PieceStatus.WRONG_SNAPSHOT
-        return [self._refuse(job, status, ran)]
+        return [self._refuse(job, status, _ran(job))]
 
     def on_suspicion(self, fingerprint: ids.Fingerprint) -> list[jobs.Action]:
         """Stop calls of a request that has just crashed an upstream.
@@ -578,24 +573,23 @@
         if job.calls:
             return []
         job.may_have_run = job.may_have_run or ran
-        safe = job.idempotent or not job.may_have_run
-        tries_left = len(job.tried) < min(MAX_TRIES, len(self.replicas))
-        if safe and tries_left and self._retry_allowed(job):
+        condemned = self.suspects.condemned(job.fingerprint)
+        if not condemned and self._may_retry(job):
             self.counts["retries"] += 1
             self._requeue(job)
             return []
         self._finish(job)
-        ran_state = answers.Ran.NOT_RUN
         status = messages.PieceStatus.SHED
         if job.may_have_run:
-            ran_state = answers.Ran.UNKNOWN
             status = messages.PieceStatus.FAILED
-        return [self._refuse(job, status, ran_state)]
+        if condemned:
+            status = messages.PieceStatus.SUSPECT
+        return [self._refuse(job, status, _ran(job))]
 
-    def _retry_allowed(self, job: jobs.Job) -> bool:
-        if self.suspects.condemned(job.fingerprint):
-            return True  # requeued, and refused as suspect when taken
-        return self.retries.take()
+    def _may_retry(self, job: jobs.Job) -> bool:
+        safe = job.idempotent or not job.may_have_run
+        tries_left = len(job.tried) < min(MAX_TRIES, len(self.replicas))
+        return safe and tries_left and self.retries.take()
 
     def _requeue(self, job: jobs.Job) -> None:
         if not job.done:
@@ -604,10 +598,7 @@
     def _expire(self, job: jobs.Job) -> jobs.Reply:
         self.counts["expired"] += 1
         self._finish(job)
-        ran = answers.Ran.NOT_RUN
-        if job.may_have_run:
-            ran = answers.Ran.UNKNOWN
-        return self._refuse(job, messages.PieceStatus.EXPIRED, ran)
+        return self._refuse(job, messages.PieceStatus.EXPIRED, _ran(job))
 
     def _refuse(
         self,
@@ -673,3 +664,10 @@
     if first_ms is None or second_ms < first_ms:
         return second_ms
     return first_ms
+
+
+def _ran(job: jobs.Job) -> answers.Ran:
+    """Return what a refusal of a job may claim."""
+    if job.may_have_run:
+        return answers.Ran.UNKNOWN
+    return answers.Ran.NOT_RUN
--- a/packages/upstream/src/godwitflow/upstream/http.py
+++ b/packages/upstream/src/godwitflow/upstream/http.py
@@ -144,6 +144,7 @@
         self.calls = 0
         self.tables: dict[ids.UpstreamId, connections.Connections] = {}
         self._lines: dict[tuple[ids.UpstreamId, int], _Line] = {}
+        self._pending: set[defer.Deferred] = set()
 
     def _table(self, upstream: ids.UpstreamId) -> connections.Connections:
         table = self.tables.get(upstream)
@@ -248,6 +249,7 @@
         line = self._line(upstream, connection)
         asking = defer.ensureDeferred(self._ask(line, f"{upstream}/health"))
         asking.addTimeout(PROBE_TIMEOUT_MS / MS_PER_S, self.reactor)
+        self._pending.add(asking)
         try:
             await asking
         except Exception:
@@ -255,6 +257,8 @@
             table.closed_silent += 1
             self._drop(upstream, connection)
             return
+        finally:
+            self._pending.discard(asking)
         table.give_back(self.now_ms(), connection)
 
     async def _ask(self, line: _Line, url: str) -> None:
@@ -293,16 +297,21 @@
             self._post(line, f"{upstream}/cancel", body)
         )
         sending.addTimeout(CANCEL_TIMEOUT_MS / MS_PER_S, self.reactor)
+        self._pending.add(sending)
         try:
             await sending
         except Exception:
             table.close(connection)
             self._drop(upstream, connection)
             return
+        finally:
+            self._pending.discard(sending)
         table.give_back(self.now_ms(), connection)
 
     async def close(self) -> None:
-        """Close every idle connection."""
+        """Give up probes and cancellations; close every connection."""
+        for sending in list(self._pending):
+            sending.cancel()
         lines, self._lines = self._lines, {}
         self.tables.clear()
         closing = [
