Measure processor time a piece

Cause: the cost of our own share was not known.

Change: make bench runs the real front, links and dispatcher, a bare loop of treq calls, and whole queries against a bare upstream.

--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,9 @@
 JOBS ?= 6
 MEASURED := out/measure
 
-.PHONY: test demo demo-nordvind measure lint clean
+BENCH_PORT ?= 18391
+
+.PHONY: test demo demo-nordvind measure bench lint clean
 
 $(STAMP): requirements.txt $(wildcard packages/*/pyproject.toml)
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -49,6 +51,12 @@
 	@$(BIN)/python -m godwitflow.lab.report \
 		$(if $(JSON),json,table) $(MEASURED)
 
+bench: $(STAMP)
+	@$(BIN)/python -m godwitflow.lab.bench_server $(BENCH_PORT) & \
+		server=$$!; trap "kill $$server" EXIT; sleep 1; \
+		JSON=$(JSON) $(BIN)/python -m godwitflow.lab.bench \
+		http://127.0.0.1:$(BENCH_PORT)
+
 lint: $(STAMP)
 	$(BIN)/ruff format --check --quiet packages
 	$(BIN)/flake8 packages
--- /dev/null
+++ b/packages/lab/src/godwitflow/lab/bench_rig.py
@@ -0,0 +1,164 @@
+"""Real front and dispatcher objects with their edges in hand."""
+
+import random
+import typing
+
+from twisted.internet import defer
+
+from godwitflow.daemon import dispatch as dispatch_module
+from godwitflow.daemon import front as front_module
+from godwitflow.daemon import metrics
+from godwitflow.daemon import tracing
+from godwitflow.model import ids
+from godwitflow.model import index as index_model
+from godwitflow.policy import catalog
+from godwitflow.policy import jobs
+from godwitflow.settings import accepted
+from godwitflow.settings import folder
+from godwitflow.upstream import client
+from godwitflow.wire import messages
+
+OWNERS = 9
+REPLICAS = 3
+SLOTS = 64
+
+Send = typing.Callable[[ids.NodeId, messages.Message], None]
+
+_TEXT = """\
+services:
+  s:
+    index: index/s
+    slots: {slots}
+    connection_cap: 200
+    canary_from_rank: 16
+    batch_size: {batch}
+    batch_window_ms: {window}
+    priorities:
+      only: {{rank: 0, target_ms: 1000, deadline_ms: 60000}}
+"""
+
+
+def held(
+    fan_out: int, batch: int, upstreams: tuple[str, ...] = ()
+) -> catalog.Catalog:
+    """Return a catalog with one service of so many shards."""
+    window = 2 if batch > 1 else 0
+    text = _TEXT.format(slots=SLOTS, batch=batch, window=window)
+    file = folder.File("s.yaml", text.encode())
+    head = accepted.Head(
+        ids.Generation(1), "bench", "c", accepted.refs((file,))
+    )
+    found = catalog.Catalog()
+    found.offer(accepted.object_name(file.sha256), 1, file.content)
+    found.offer(accepted.HEAD_NAME, 2, accepted.encode_head(head))
+    index = _index(fan_out, upstreams)
+    found.offer("index/s", 3, index_model.encode(index))
+    return found
+
+
+def _index(fan_out: int, upstreams: tuple[str, ...]) -> index_model.Index:
+    shards = {ids.ShardId(f"s{n:04d}"): _set_of(n) for n in range(fan_out)}
+    if upstreams:
+        shards = dict.fromkeys(shards, ids.ReplicaSetId("r0"))
+        sets = {ids.ReplicaSetId("r0"): tuple(map(ids.UpstreamId, upstreams))}
+    else:
+        sets = {
+            name: tuple(
+                ids.UpstreamId(f"http://{name}-{k}") for k in range(REPLICAS)
+            )
+            for name in shards.values()
+        }
+    return index_model.Index(
+        ids.ServiceName("s"), ids.SnapshotVersion(1), sets, shards
+    )
+
+
+def _set_of(number: int) -> ids.ReplicaSetId:
+    return ids.ReplicaSetId(f"r{number:04d}")
+
+
+def route(key: str) -> list[ids.NodeId]:
+    """Spread replica sets over the owners."""
+    number = int(key.rpartition("r")[2])
+    return [ids.NodeId(f"d{number % OWNERS}")]
+
+
+def new_front(
+    reactor: typing.Any,
+    now_ms: typing.Callable[[], float],
+    found: catalog.Catalog,
+    send: Send,
+) -> front_module.Front:
+    """Return a front that serves."""
+    front = front_module.Front(
+        reactor,
+        now_ms,
+        ids.NodeId("f"),
+        found,
+        send,
+        route,
+        typing.cast(typing.Any, None),
+        metrics.Metrics(),
+        tracing.Tracing("f", 0.0, ()),
+    )
+    front.serving = True
+    front.condemned = _never
+    return front
+
+
+def _never(fingerprint: ids.Fingerprint) -> bool:
+    return False
+
+
+def new_dispatch(
+    reactor: typing.Any,
+    now_ms: typing.Callable[[], float],
+    found: catalog.Catalog,
+    upstream: client.Client,
+    send: Send,
+) -> dispatch_module.Dispatch:
+    """Return a dispatcher for every replica set."""
+    return dispatch_module.Dispatch(
+        reactor,
+        now_ms,
+        upstream,
+        found,
+        send,
+        metrics.Metrics(),
+        tracing.Tracing("d", 0.0, ()),
+    )
+
+
+class InstantUpstream:
+    """Answers calls when told to; costs next to nothing."""
+
+    def __init__(self) -> None:
+        self.random = random.Random(1)
+        self.waiting: list[tuple[defer.Deferred, tuple[jobs.Job, ...]]] = []
+
+    async def call(
+        self,
+        upstream: ids.UpstreamId,
+        batch: tuple[jobs.Job, ...],
+        timeout_ms: float,
+        handle: client.Handle,
+    ) -> jobs.CallResult:
+        """Wait for ``answer_all``."""
+        waiting: defer.Deferred[jobs.CallResult] = defer.Deferred()
+        self.waiting.append((waiting, batch))
+        return await waiting
+
+    def cancel(
+        self, upstream: ids.UpstreamId, batch: tuple[jobs.Job, ...]
+    ) -> None:
+        """Ignore a cancellation."""
+
+    def answer_all(self) -> None:
+        """Answer every call that waits."""
+        waiting, self.waiting = self.waiting, []
+        for result, batch in waiting:
+            items = tuple(
+                jobs.ItemOk(job.piece_key, job.shard, job.snapshot, b"[1]")
+                for job in batch
+            )
+            result.callback(jobs.CallDone(items))
