--- a/packages/daemon/src/godwitflow/daemon/dispatch.py
+++ b/packages/daemon/src/godwitflow/daemon/dispatch.py
@@ -1,5 +1,7 @@
 """The dispatcher task: replica sets' policy with real calls."""
 
+import dataclasses
+import heapq
 import typing
 
 from twisted.internet import defer
@@ -21,7 +23,8 @@
 
 LOAD_QUIET_MS = 1_000.0
 CLIENT_RECENT_MS = 1_000.0
-MIN_TIMER_S = 0.0005
+MIN_TIMER_MS = 0.5
+TIMER_SLACK_MS = 0.5
 
 Send = typing.Callable[[ids.NodeId, messages.Message], None]
 SetKey = tuple[ids.ServiceName, ids.ReplicaSetId]
@@ -29,6 +32,15 @@
 _log = logs.logger("dispatcher")
 
 
+@dataclasses.dataclass
+class _Flight:
+    """A call under way: how to abort it, and what it carries."""
+
+    handle: client.Handle
+    jobs: tuple[jobs.Job, ...]
+    spans: list[tracing.Span] = dataclasses.field(default_factory=list)
+
+
 class Dispatch:
     """Owns the connections to upstreams and the queue of each set."""
 
@@ -51,10 +63,11 @@
         self.tracer = tracer
         self.suspects = suspects.Suspects()
         self.sets: dict[SetKey, dispatcher.ReplicaSet] = {}
-        self.active = 0
-        self._timers: dict[SetKey, tuple[float, typing.Any]] = {}
-        self._handles: dict[tuple[SetKey, int], client.Handle] = {}
-        self._calls: dict[tuple[SetKey, int], tuple[jobs.Job, ...]] = {}
+        self._armed: dict[SetKey, float] = {}
+        self._wakeups: list[tuple[float, SetKey]] = []
+        self._timer: typing.Any = None
+        self._timer_at_ms = 0.0
+        self._flights: dict[tuple[SetKey, int], _Flight] = {}
         self._clients: dict[SetKey, dict[ids.NodeId, float]] = {}
         self._sets_of: dict[tuple[str, ids.PieceId], SetKey] = {}
         self._reported: dict[SetKey, float] = {}
@@ -161,12 +174,13 @@
                 case jobs.StartCall():
                     self._start_call(key, found, action)
                 case jobs.CancelCall(call=call, upstream=upstream):
-                    batch = self._calls.get((key, call), ())
-                    self.upstream.cancel(upstream, batch)
+                    flight = self._flights.get((key, call))
+                    if flight is not None:
+                        self.upstream.cancel(upstream, flight.jobs)
                 case jobs.AbortCall(call=call):
-                    handle = self._handles.get((key, call))
-                    if handle is not None:
-                        handle.abort()
+                    flight = self._flights.get((key, call))
+                    if flight is not None:
+                        flight.handle.abort()
                 case jobs.Reply():
                     self._reply(key, action)
         self._arm(key, found)
@@ -177,33 +191,30 @@
         found: dispatcher.ReplicaSet,
         action: jobs.StartCall,
     ) -> None:
-        handle = client.Handle()
-        self._handles[(key, action.call)] = handle
-        self._calls[(key, action.call)] = action.jobs
-        self.active += 1
-        self.metrics.count("upstream_calls", service=key[0])
-        defer.ensureDeferred(self._call(key, found, action, handle))
-
-    async def _call(
+        flight = _Flight(client.Handle(), action.jobs)
+        if self._spans:
+            flight.spans = self._call_spans(action)
+        self._flights[(key, action.call)] = flight
+        calling = self.upstream.call(
+            action.upstream,
+            action.jobs,
+            found.service.call_timeout_ms,
+            flight.handle,
+        )
+        running = defer.ensureDeferred(calling)
+        running.addCallback(self._on_result, key, found, action)
+
+    def _on_result(
         self,
+        result: jobs.CallResult,
         key: SetKey,
         found: dispatcher.ReplicaSet,
         action: jobs.StartCall,
-        handle: client.Handle,
     ) -> None:
-        spans = self._call_spans(action)
-        result = await self.upstream.call(
-            action.upstream,
-            action.jobs,
-            found.service.call_timeout_ms,
-            handle,
-        )
-        for span in spans:
+        flight = self._flights.pop((key, action.call))
+        for span in flight.spans:
             kind = type(result).__name__
             span.end(upstream=action.upstream, result=kind)
-        self.active -= 1
-        self._handles.pop((key, action.call), None)
-        self._calls.pop((key, action.call), None)
         actions = found.on_result(self.now_ms(), action.call, result)
         if isinstance(result, jobs.CallCrashed):
             self._tell_suspects(action)
@@ -233,9 +244,9 @@
     def _reply(self, key: SetKey, action: jobs.Reply) -> None:
         job = action.job
         self._sets_of.pop((job.client, job.piece), None)
-        status = action.status.name.lower()
-        self._end_span((job.client, job.piece), status=status)
-        self.metrics.count("pieces", service=key[0], status=status)
+        if self._spans:
+            status = action.status.name.lower()
+            self._end_span((job.client, job.piece), status=status)
         piece = messages.Piece(
             job.piece,
             job.shard,
@@ -263,22 +274,41 @@
     # Timers -----------------------------------------------------------
 
     def _arm(self, key: SetKey, found: dispatcher.ReplicaSet) -> None:
+        """Have a set's policy run again when it wants to.
+
+        All sets share one timer of the reactor, as a timer for each
+        would cost more than the policy itself.
+        """
         now_ms = self.now_ms()
         wakeup_ms = found.next_wakeup_ms(now_ms)
-        armed = self._timers.get(key)
-        if wakeup_ms is None:
+        armed_ms = self._armed.get(key)
+        if wakeup_ms is None or (armed_ms and armed_ms <= wakeup_ms):
             return
-        if armed is not None:
-            if armed[0] <= wakeup_ms:
+        self._armed[key] = wakeup_ms
+        heapq.heappush(self._wakeups, (wakeup_ms, key))
+        self._set_timer(now_ms)
+
+    def _set_timer(self, now_ms: float) -> None:
+        first_ms = self._wakeups[0][0]
+        if self._timer is not None and self._timer.active():
+            if self._timer_at_ms <= first_ms + TIMER_SLACK_MS:
                 return
-            armed[1].cancel()
-        delay_s = max(MIN_TIMER_S, (wakeup_ms - now_ms) / clock.MS_PER_S)
-        timer = self.reactor.callLater(delay_s, self._wake, key, found)
-        self._timers[key] = (wakeup_ms, timer)
+            self._timer.cancel()
+        delay_ms = max(MIN_TIMER_MS, first_ms - now_ms)
+        self._timer_at_ms = now_ms + delay_ms
+        delay_s = delay_ms / clock.MS_PER_S
+        self._timer = self.reactor.callLater(delay_s, self._wake)
 
-    def _wake(self, key: SetKey, found: dispatcher.ReplicaSet) -> None:
-        self._timers.pop(key, None)
-        self._perform(key, found, found.step(self.now_ms()))
+    def _wake(self) -> None:
+        now_ms = self.now_ms()
+        while self._wakeups and self._wakeups[0][0] <= now_ms:
+            wakeup_ms, key = heapq.heappop(self._wakeups)
+            if self._armed.get(key) == wakeup_ms:
+                del self._armed[key]
+                found = self.sets[key]
+                self._perform(key, found, found.step(now_ms))
+        if self._wakeups:
+            self._set_timer(now_ms)
 
     def report_loads(self) -> None:
         """Tell each recent front how long new work would queue."""
@@ -312,6 +342,11 @@
         self._reported[key] = now_ms
         return True
 
+    @property
+    def active(self) -> int:
+        """The number of calls under way."""
+        return len(self._flights)
+
     @property
     def idle(self) -> bool:
         """Whether no piece is queued and no call is running."""
@@ -319,10 +354,9 @@
         return self.active == 0 and queued == 0
 
     def stop(self) -> None:
-        """Cancel every timer."""
-        for _, timer in self._timers.values():
-            timer.cancel()
-        self._timers.clear()
+        """Cancel the timer."""
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
 
     # Spans ------------------------------------------------------------
 
--- a/packages/policy/src/godwitflow/policy/dispatcher.py
+++ b/packages/policy/src/godwitflow/policy/dispatcher.py
@@ -179,20 +179,22 @@
                 for job in self.queue.drop_expired(now_ms):
                     actions.append(self._expire(job))
             self._start_queued(now_ms, actions)
-        for call in self.hedging.late(now_ms):
-            actions.extend(self._hedge(now_ms, call))
+        if self.calls:
+            for call in self.hedging.late(now_ms):
+                actions.extend(self._hedge(now_ms, call))
         if now_ms >= self._silence_check_at_ms:
             actions.extend(self._abort_silent(now_ms))
         return actions
 
     def next_wakeup_ms(self, now_ms: float) -> float | None:
         """Return when ``step`` should run next without an event."""
-        wakeup_ms = self.hedging.next_late_at_ms()
+        wakeup_ms = None
+        if self.calls:
+            late_at_ms = self.hedging.next_late_at_ms()
+            wakeup_ms = _sooner(late_at_ms, self._silence_check_at_ms)
         if self._batch_since_ms is not None:
             window_ms = self.service.batch_window_ms
             wakeup_ms = _sooner(wakeup_ms, self._batch_since_ms + window_ms)
-        if self.calls:
-            wakeup_ms = _sooner(wakeup_ms, self._silence_check_at_ms)
         if self._held or self.queue.waiting:
             wakeup_ms = _sooner(wakeup_ms, now_ms + EXPIRY_CHECK_MS)
         if wakeup_ms is None:
@@ -409,7 +411,7 @@
         answered, or it takes many times longer than any call should. A
         request that may run only once is never given up early.
         """
-        late_ms = self.hedging.delay_ms()
+        late_ms = self.hedging.delay_ms
         self._silence_check_at_ms = now_ms + SILENCE_CHECK_MS
         if late_ms is None:
             return []
@@ -440,7 +442,11 @@
         if not call.cancelled:
             call.upstream.on_success(elapsed_ms)
             self.service_time.record(elapsed_ms)
-            self.hedging.quantile.record(elapsed_ms)
+            self.hedging.record(elapsed_ms)
+        if len(call.jobs) == 1 and len(result.items) == 1:
+            only, job = result.items[0], call.jobs[0]
+            if only.piece == job.piece_key:
+                return self._on_item(now_ms, call, job, only)
         actions: list[jobs.Action] = []
         by_piece = {item.piece: item for item in result.items}
         for job in call.jobs:
@@ -491,6 +497,8 @@
             started_ms - job.queued_at_ms,
             now_ms - started_ms,
         )
+        if not job.calls:
+            return [reply]
         return [reply, *self._cancel_calls(job)]
 
     def _finish(self, job: jobs.Job) -> None:
--- a/packages/policy/src/godwitflow/policy/hedging.py
+++ b/packages/policy/src/godwitflow/policy/hedging.py
@@ -15,7 +15,8 @@
 class Hedging:
     """Keeps calls in start order and says which of them are late.
 
-    A call is late once it takes longer than the set's recent quantile.
+    A call is late once it takes longer than the set's recent quantile,
+    which is ``delay_ms``; None until enough calls have been seen.
     The budget is a share of primary work; ``room`` shrinks it to nothing
     as slots fill, because a hedge then takes a slot from queued work.
     """
@@ -24,6 +25,7 @@
         self.settings = settings
         self.budget = budget.ShareBudget(settings.budget_share, BURST)
         self.quantile = latency.RecentQuantile(settings.quantile)
+        self.delay_ms: float | None = None
         self._in_order: collections.deque[calls.Call] = collections.deque()
 
     def apply(self, settings: config.Hedge) -> None:
@@ -37,22 +39,24 @@
         """Watch a call that has just started."""
         self._in_order.append(call)
 
-    def delay_ms(self) -> float | None:
-        """Return after how long a call is late; None if not known yet."""
+    def record(self, elapsed_ms: float) -> None:
+        """Learn how long a call took."""
+        self.quantile.record(elapsed_ms)
         late_ms = self.quantile.value_ms()
-        if late_ms is None:
-            return None
-        return max(late_ms, self.settings.min_delay_ms)
+        if late_ms is not None:
+            self.delay_ms = max(late_ms, self.settings.min_delay_ms)
 
     def next_late_at_ms(self) -> float | None:
         """Return when the oldest call still wanted turns late."""
+        if self.delay_ms is None:
+            return None
         queue = self._in_order
-        while queue and not queue[0].wanted():
+        while queue:
+            call = queue[0]
+            if call.wanted():
+                return call.started_at_ms + self.delay_ms
             queue.popleft()
-        delay_ms = self.delay_ms()
-        if not queue or delay_ms is None:
-            return None
-        return queue[0].started_at_ms + delay_ms
+        return None
 
     def late(self, now_ms: float) -> list[calls.Call]:
         """Take out the calls that are late now and still wanted."""
--- a/packages/policy/src/godwitflow/policy/latency.py
+++ b/packages/policy/src/godwitflow/policy/latency.py
@@ -6,7 +6,8 @@
 HIGHEST_US = 600_000_000
 DIGITS = 2
 WINDOW_COUNT = 1_000
-REFRESH_COUNT = 50
+FIRST_COUNT = 50
+REFRESH_COUNT = 250
 US_PER_MS = 1_000.0
 
 
@@ -33,7 +34,8 @@
     """One quantile of the last one or two thousand values.
 
     The histogram library walks its buckets for each quantile, so the
-    result is kept and refreshed after every ``REFRESH_COUNT`` values.
+    result is kept: it is there after ``FIRST_COUNT`` values and is
+    refreshed after every ``REFRESH_COUNT``.
     """
 
     __slots__ = ("_current", "_kept_ms", "_previous", "count", "quantile")
@@ -50,7 +52,7 @@
         self.count += 1
         value_us = int(value_ms * US_PER_MS)
         self._current.record_value(min(max(value_us, 1), HIGHEST_US))
-        if self.count % REFRESH_COUNT == 0:
+        if self.count == FIRST_COUNT or self.count % REFRESH_COUNT == 0:
             self._refresh()
         if self.count % WINDOW_COUNT == 0:
             self._previous = self._current
--- a/packages/policy/src/godwitflow/policy/replicas.py
+++ b/packages/policy/src/godwitflow/policy/replicas.py
@@ -39,6 +39,7 @@
         self.random = random.Random(seed)
         self._typical_ms = 0.0
         self._typical_age = 0
+        self._turn = 0
         self.by_id = {
             name: upstreams.Upstream(name, slots, cold) for name in members
         }
@@ -141,19 +142,22 @@
             item
             for item in ready
             if item.id not in tried
-            and not item.is_slow(typical_ms)
             and item.breaker is _CLOSED
+            and not item.is_slow(typical_ms)
         ]
         if len(usable) > COMPARE_ALL_UP_TO:
             usable = self.random.sample(usable, 2)
-        if len(usable) <= 1:
-            return usable[0] if usable else None
-        return min(usable, key=self._cost)
-
-    def _cost(self, item: upstreams.Upstream) -> tuple[float, float]:
-        speed_ms = item.average.value_ms or UNMEASURED_MS
-        cost = speed_ms * (1 + item.in_flight) / max(1, item.limit)
-        return cost, self.random.random()
+        self._turn += 1
+        best = None
+        best_cost = 0.0
+        for place in range(len(usable)):
+            # Equal costs go round, so that no replica is always first.
+            item = usable[(place + self._turn) % len(usable)]
+            speed_ms = item.average.value_ms or UNMEASURED_MS
+            cost = speed_ms * (1 + item.in_flight) / item.limit
+            if best is None or cost < best_cost:
+                best, best_cost = item, cost
+        return best
 
     def choose_doubtful(
         self,
--- /dev/null
+++ b/packages/policy/tests/test_ownership.py
@@ -0,0 +1,80 @@
+"""Tests of who owns what."""
+
+import collections
+import math
+import random
+import unittest
+
+from godwitflow.policy import ownership
+from godwitflow.policy import watchers
+
+KEYS = tuple(f"s/r{n}" for n in range(200))
+
+
+def members(count, domains=3):
+    return tuple(
+        ownership.Candidate(f"vm{n}", f"d{n % domains}") for n in range(count)
+    )
+
+
+class OwnersTest(unittest.TestCase):
+    def test_every_node_agrees_whatever_came_before(self):
+        """Ranks kept over changes are those of a fresh table."""
+        source = random.Random(3)
+        everyone = members(60)
+        kept = ownership.Owners(everyone)
+        kept.set_keys(KEYS)
+        view = list(everyone)
+        for _ in range(60):
+            if len(view) > 40 and source.random() < 0.5:
+                view.remove(source.choice(view))
+            else:
+                left = [item for item in everyone if item not in view]
+                view += left[:1]
+            kept.update(tuple(view))
+            fresh = ownership.Owners(tuple(view))
+            fresh.set_keys(KEYS)
+            for key in KEYS:
+                self.assertEqual(fresh.candidates(key), kept.candidates(key))
+
+    def test_load_is_bounded_and_every_key_has_an_owner(self):
+        owners = ownership.Owners(members(9))
+        owners.set_keys(KEYS)
+        counts = collections.Counter(owners.owner(key) for key in KEYS)
+        most = math.ceil(len(KEYS) / 9 * ownership.LOAD_FACTOR)
+        # Where all three candidates are full the first one owns.
+        self.assertLessEqual(max(counts.values()), most + 2)
+        self.assertEqual(len(KEYS), sum(counts.values()))
+
+    def test_a_node_lost_moves_few_other_keys(self):
+        owners = ownership.Owners(members(9))
+        owners.set_keys(KEYS)
+        before = {key: owners.owner(key) for key in KEYS}
+        owners.update(members(9)[1:])
+        moved = [
+            key
+            for key in KEYS
+            if owners.owner(key) != before[key] and before[key] != "vm0"
+        ]
+        self.assertLess(len(moved), len(KEYS) // 5)
+
+    def test_no_members(self):
+        self.assertIsNone(ownership.Owners().owner("k"))
+
+    def test_few_members(self):
+        owners = ownership.Owners(members(2))
+        self.assertEqual({"vm0", "vm1"}, set(owners.candidates("k")))
+
+
+class WatchersTest(unittest.TestCase):
+    def test_watches_do_not_grow_with_the_fleet(self):
+        names = ("config/head", "index/a", "index/b")
+        for count in (9, 90):
+            view = members(count)
+            watching = [
+                name
+                for item in view
+                for name in watchers.assigned(item.node, view, names)
+            ]
+            self.assertEqual(3, watching.count("config/head"))
+            self.assertEqual(2, watching.count("index/a"))
