--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,7 @@
 
 BENCH_PORT ?= 18391
 
-.PHONY: test demo demo-nordvind measure bench lint clean
+.PHONY: test demo demo-nordvind measure bench slopes lint clean
 
 $(STAMP): requirements.txt $(wildcard packages/*/pyproject.toml)
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -57,6 +57,12 @@
 		JSON=$(JSON) $(BIN)/python -m godwitflow.lab.bench \
 		http://127.0.0.1:$(BENCH_PORT)
 
+# Measures control, ownership, pieces, spread and claims against size.
+slopes: $(STAMP)
+	@mkdir -p out
+	@$(BIN)/python -m godwitflow.lab.slopes out/slopes.csv
+	@$(BIN)/python -m godwitflow.lab.plots out/slopes.csv out/slopes.png
+
 lint: $(STAMP)
 	$(BIN)/ruff format --check --quiet packages
 	$(BIN)/flake8 packages
--- /dev/null
+++ b/packages/lab/src/godwitflow/lab/slope_claims.py
@@ -0,0 +1,131 @@
+"""Claims a second against journal partitions and store latency."""
+
+import dataclasses
+import random
+
+from godwitflow.lab import measure as measure_module
+from godwitflow.lab import virtual
+from godwitflow.policy import journal
+from godwitflow.policy import ownership
+from godwitflow.wire import messages
+
+PARTITIONS = (1, 4, 16)
+LATENCIES_MS = (5.0, 200.0)
+INTERVAL_MS = 50.0
+RATE_PER_S = 400.0
+SPAN_MS = 5_000.0
+BUDGET_MS = 1_500.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Claims:
+    """What the journal carried; waits are of claims that succeeded."""
+
+    partitions: int
+    latency_ms: float
+    per_s: float
+    wait_p50_ms: float
+    wait_p99_ms: float
+    writes_per_s: float
+    refused: int
+
+
+class _Bench:
+    def __init__(self, partitions: int, latency_ms: float) -> None:
+        self.clock = virtual.Clock()
+        self.latency_ms = latency_ms
+        self.partitions = [
+            journal.Partition(number, 600_000.0, INTERVAL_MS)
+            for number in range(partitions)
+        ]
+        self.versions = [0] * partitions
+        self.values = [b""] * partitions
+        self.asked_at_ms: dict[int, float] = {}
+        self.waits: list[float] = []
+        self.refused = 0
+
+    def claim(self, number: int) -> None:
+        """Send one claim on a new key."""
+        now_ms = self.clock.now_ms
+        key = f"s/key-{number}"
+        place = ownership.hash64(key) % len(self.partitions)
+        self.asked_at_ms[number] = now_ms
+        claim = messages.Claim(number, place, key, f"f/{number}", BUDGET_MS)
+        found = self.partitions[place]
+        self.perform(place, found.claim(now_ms, now_ms, "f", claim))
+
+    def perform(self, place: int, actions: list[journal.Action]) -> None:
+        """Carry actions out against a store with one latency."""
+        for action in actions:
+            match action:
+                case journal.Read():
+                    self.clock.after(self.latency_ms, self._read, place)
+                case journal.Write():
+                    self.clock.after(
+                        self.latency_ms, self._write, place, action
+                    )
+                case journal.ReplyClaim(reply=reply):
+                    self._reply(reply)
+
+    def _reply(self, reply: messages.ClaimReply) -> None:
+        if reply.verdict is messages.ClaimVerdict.CLAIMED:
+            waited_ms = self.clock.now_ms - self.asked_at_ms[reply.claim]
+            self.waits.append(waited_ms)
+        else:
+            self.refused += 1
+
+    def _read(self, place: int) -> None:
+        now_ms = self.clock.now_ms
+        found = self.partitions[place]
+        value, version = self.values[place], self.versions[place]
+        self.perform(place, found.on_read(now_ms, now_ms, value, version))
+
+    def _write(self, place: int, write: journal.Write) -> None:
+        self.versions[place] += 1
+        self.values[place] = write.value
+        now_ms = self.clock.now_ms
+        found = self.partitions[place]
+        version = self.versions[place]
+        self.perform(place, found.on_written(now_ms, now_ms, version))
+
+    def step(self) -> None:
+        """Step partitions with work waiting, as the daemon does."""
+        now_ms = self.clock.now_ms
+        for place, found in enumerate(self.partitions):
+            if found.busy:
+                self.perform(place, found.step(now_ms, now_ms))
+        self.clock.after(5.0, self.step)
+
+
+def measure(partitions: int, latency_ms: float) -> Claims:
+    """Offer a steady rate of claims for five seconds."""
+    source = random.Random(partitions)
+    run = _Bench(partitions, latency_ms)
+    run.step()
+    at_ms = 0.0
+    number = 0
+    while at_ms < SPAN_MS:
+        at_ms += source.expovariate(RATE_PER_S / 1e3)
+        number += 1
+        run.clock.at(at_ms, run.claim, number)
+    run.clock.run(SPAN_MS + 2 * BUDGET_MS)
+    waits = sorted(run.waits)
+    writes = sum(item.writes for item in run.partitions)
+    return Claims(
+        partitions,
+        latency_ms,
+        round(len(waits) * 1e3 / SPAN_MS, 1),
+        round(measure_module.quantile(waits, 0.5), 1),
+        round(measure_module.quantile(waits, 0.99), 1),
+        round(writes * 1e3 / SPAN_MS, 1),
+        run.refused,
+    )
+
+
+def measure_all() -> list[Claims]:
+    """Measure every pair of partitions and latency."""
+    return [
+        measure(partitions, latency_ms)
+        for latency_ms in LATENCIES_MS
+        for partitions in PARTITIONS
+    ]
--- /dev/null
+++ b/packages/lab/src/godwitflow/lab/slope_control.py
@@ -0,0 +1,178 @@
+"""Control cost of one node against the members it knows of."""
+
+import dataclasses
+import gc
+import random
+import time
+import tracemalloc
+
+from godwitflow.model import ids
+from godwitflow.policy import catalog
+from godwitflow.policy import membership
+from godwitflow.policy import ownership
+from godwitflow.policy import watchers
+from godwitflow.wire import codec
+from godwitflow.wire import messages
+
+TICK_MS = 50.0
+SPAN_MS = 30_000.0
+DAY_MS = 86_400_000.0
+CHANGES_A_NODE_AND_DAY = 2 * 5_750 / 3_800
+SETS_A_NODE = 8_000 / 3_800
+CONFIG_CHANGES_A_DAY = 20_000
+SETS_OF_NINE = 75
+
+
+@dataclasses.dataclass(frozen=True)
+class Cost:
+    """What control takes of one node."""
+
+    cpu_ms_per_s: float
+    kb_per_s: float
+    state_kb: float
+
+
+def _update(number: int, incarnation: int = 1) -> messages.MemberUpdate:
+    return messages.MemberUpdate(
+        ids.NodeId(f"vm-{number:05d}"),
+        ids.FailureDomain(f"d{number % 9}"),
+        f"tcp://10.{number // 250}.0.{number % 250}:8082",
+        f"http://10.{number // 250}.0.{number % 250}:8080",
+        f"http://10.{number // 250}.0.{number % 250}:8081",
+        incarnation,
+        messages.MemberState.ALIVE,
+        True,
+    )
+
+
+class _Node:
+    """A node's membership, owners and watches, with peers faked."""
+
+    def __init__(self, members: int) -> None:
+        self.random = random.Random(members)
+        self.table = membership.Membership(_update(0), 1)
+        self.table.merge(0.0, [_update(n) for n in range(1, members)])
+        self.table._news.clear()
+        self.owners = ownership.Owners()
+        sets = max(SETS_OF_NINE, int(members * SETS_A_NODE))
+        self.owners.set_keys(tuple(f"s/r{n}" for n in range(sets)))
+        self.follow()
+        self.header = codec.Header(1, ids.NodeId("vm-00001"), 1, "tcp://x:1")
+        self.digests = (catalog.Catalog().summary(),)
+        self.bytes = 0
+        self.messages = 0
+
+    def follow(self) -> None:
+        """Follow the members, as the control task does."""
+        self.table.changed = False
+        alive = self.table.alive()
+        view = tuple(
+            ownership.Candidate(item.node, item.failure_domain)
+            for item in alive
+        )
+        self.owners.update(view)
+        watchers.assigned(self.table.me.node, view, ("config/head", "index/a"))
+
+    def receive(self, now_ms: float, message: messages.Message) -> None:
+        """Decode and handle one message; answer a probe."""
+        raw = codec.encode(self.header, [message])
+        self.bytes += len(raw)
+        self.messages += 1
+        match codec.decode(raw).messages[0]:
+            case messages.Probe() as probe:
+                actions = self.table.on_probe(
+                    now_ms, self.header.sender, "tcp://x:1", probe
+                )
+            case messages.ProbeAck() as ack:
+                actions = self.table.on_ack(now_ms, ack)
+            case _:
+                actions = []
+        self.send(actions)
+
+    def send(self, actions: list[membership.SendTo]) -> None:
+        """Encode what leaves."""
+        for action in actions:
+            raw = codec.encode(self.header, [action.message])
+            self.bytes += len(raw)
+            self.messages += 1
+
+    def tick(self, now_ms: float) -> None:
+        """Run one tick; each probe sent is acknowledged."""
+        self.table.digests = self.digests
+        actions = self.table.tick(now_ms)
+        self.send(actions)
+        for action in actions:
+            if isinstance(action.message, messages.Probe):
+                sequence = action.message.sequence
+                news = self.news()
+                ack = messages.ProbeAck(sequence, news, self.digests)
+                self.receive(now_ms, ack)
+        if self.table.changed:
+            self.follow()
+
+    def news(self) -> tuple[messages.MemberUpdate, ...]:
+        """Return a peer's own row and what it spreads now."""
+        size = max(1, len(self.table.members))
+        rate_per_ms = size * CHANGES_A_NODE_AND_DAY / DAY_MS
+        fresh = int(rate_per_ms * 10_000.0 + self.random.random())
+        rows = [_update(self.random.randint(1, size))]
+        for _ in range(min(membership.NEWS_A_MESSAGE, fresh)):
+            rows.append(_update(self.random.randint(1, size)))
+        return tuple(rows)
+
+
+def measure(members: int) -> Cost:
+    """Run one node for half a minute of virtual time."""
+    gc.collect()
+    tracemalloc.start()
+    node = _Node(members)
+    state_kb = tracemalloc.get_traced_memory()[0] / 1e3
+    tracemalloc.stop()
+    began_s = time.process_time()
+    _run(node, members)
+    spent_ms = (time.process_time() - began_s) * 1e3
+    span_s = SPAN_MS / 1e3
+    return Cost(
+        round(spent_ms / span_s, 4),
+        round(node.bytes / 1e3 / span_s, 4),
+        round(state_kb, 1),
+    )
+
+
+def _run(node: _Node, members: int) -> None:
+    """Tick, be probed once a period, and see members come and go."""
+    now_ms = 0.0
+    next_probe_ms = 0.0
+    gap_ms = DAY_MS / (members * CHANGES_A_NODE_AND_DAY)
+    next_change_ms = node.random.random() * gap_ms
+    changes = 0
+    while now_ms < SPAN_MS:
+        node.tick(now_ms)
+        if now_ms >= next_probe_ms:
+            next_probe_ms += membership.PERIOD_MS
+            probe = messages.Probe(1, node.news(), node.digests)
+            node.receive(now_ms, probe)
+        if now_ms >= next_change_ms:
+            next_change_ms += gap_ms
+            changes += 1
+            node.table.merge(now_ms, [_change(node, members, changes)])
+        now_ms += TICK_MS
+
+
+def _change(node: _Node, members: int, changes: int) -> messages.MemberUpdate:
+    """Return news that changes who may own: a VM goes or comes."""
+    if changes % 2:
+        number = node.random.randint(1, members - 1)
+        known = node.table.members.get(ids.NodeId(f"vm-{number:05d}"))
+        incarnation = known.update.incarnation if known else 1
+        gone = _update(number, incarnation)
+        return messages.MemberUpdate(
+            gone.node,
+            gone.failure_domain,
+            gone.inner,
+            gone.caller,
+            gone.operator,
+            incarnation,
+            messages.MemberState.DEAD,
+        )
+    return _update(members + changes)
--- /dev/null
+++ b/packages/lab/src/godwitflow/lab/slope_spread.py
@@ -0,0 +1,190 @@
+"""How long a configuration takes to reach every node, by digests."""
+
+import dataclasses
+import random
+
+from godwitflow.fakes import deployment
+from godwitflow.model import ids
+from godwitflow.policy import catalog
+from godwitflow.policy import membership
+from godwitflow.settings import accepted
+from godwitflow.settings import folder
+from godwitflow.wire import codec
+from godwitflow.wire import messages
+
+MEMBERS = (30, 90, 300, 900)
+DOMAINS = 9
+STEP_MS = 10.0
+LIMIT_MS = 60_000.0
+SETTLE_MS = 1_500.0
+HEADER = codec.Header(1, ids.NodeId("vm-00001"), 1, "tcp://10.0.0.1:8082")
+
+
+@dataclasses.dataclass(frozen=True)
+class Spread:
+    """When the last node had it, and the bytes a node sent for it."""
+
+    seconds: float
+    kb_per_node: float
+
+
+class _Fleet:
+    """Membership and catalog of every node, messages in one queue."""
+
+    def __init__(self, members: int) -> None:
+        self.random = random.Random(members)
+        self.tables = []
+        self.catalogs = []
+        self.bytes = 0
+        rows = [_row(number) for number in range(members)]
+        for number, row in enumerate(rows):
+            table = membership.Membership(row, number)
+            table.merge(0.0, rows)
+            table._news.clear()
+            table._next_period_ms = self.random.uniform(
+                0.0, membership.PERIOD_MS
+            )
+            self.tables.append(table)
+            self.catalogs.append(catalog.Catalog())
+        self.queue: list[tuple[float, int, int, messages.Message]] = []
+
+    def give(self, node: int, generation: int) -> None:
+        """Hand a generation to a node, as its watch does."""
+        for name, version, value in _objects(generation):
+            self.catalogs[node].offer(name, version, value)
+
+    def post(
+        self,
+        now_ms: float,
+        origin: int,
+        target: int,
+        message: messages.Message,
+    ) -> None:
+        """Send a message; catalog traffic is counted."""
+        if not isinstance(message, (messages.Probe, messages.ProbeAck)):
+            self.bytes += len(codec.encode(HEADER, [message]))
+        self.queue.append((now_ms + STEP_MS, origin, target, message))
+
+    def tick(self, now_ms: float) -> None:
+        """Let every node run what is due."""
+        for number, table in enumerate(self.tables):
+            table.digests = (self.catalogs[number].summary(),)
+            for action in table.tick(now_ms):
+                target = _number(action.node)
+                self.post(now_ms, number, target, action.message)
+        due = [item for item in self.queue if item[0] <= now_ms]
+        self.queue = [item for item in self.queue if item[0] > now_ms]
+        for _, origin, target, message in due:
+            self._handle(now_ms, origin, target, message)
+
+    def _handle(
+        self,
+        now_ms: float,
+        origin: int,
+        target: int,
+        message: messages.Message,
+    ) -> None:
+        table = self.tables[target]
+        held = self.catalogs[target]
+        sender = ids.NodeId(f"vm-{origin:05d}")
+        match message:
+            case messages.Probe():
+                actions = table.on_probe(now_ms, sender, "", message)
+                for action in actions:
+                    self.post(now_ms, target, origin, action.message)
+                self._digests(now_ms, target, origin, message.digests)
+            case messages.ProbeAck():
+                table.on_ack(now_ms, message)
+                self._digests(now_ms, target, origin, message.digests)
+            case messages.Pull(names=names):
+                for name in names:
+                    found = held.objects.get(name)
+                    if found is not None:
+                        push = messages.Push(name, found.version, found.value)
+                        self.post(now_ms, target, origin, push)
+            case messages.Push(name=name, version=version, value=value):
+                held.offer(name, version, value)
+                missing = held.missing_files()
+                if name == accepted.HEAD_NAME and missing:
+                    pull = messages.Pull(missing)
+                    self.post(now_ms, target, origin, pull)
+
+    def _digests(
+        self,
+        now_ms: float,
+        target: int,
+        origin: int,
+        digests: tuple[messages.Digest, ...],
+    ) -> None:
+        held = self.catalogs[target]
+        behind = held.behind(digests)
+        if behind:
+            self.post(now_ms, target, origin, messages.Pull(behind))
+        elif held.differs(digests):
+            ack = messages.ProbeAck(0, (), held.digests())
+            self.bytes += len(codec.encode(HEADER, [ack]))
+            self.post(now_ms, target, origin, ack)
+
+
+def _row(number: int) -> messages.MemberUpdate:
+    return messages.MemberUpdate(
+        ids.NodeId(f"vm-{number:05d}"),
+        ids.FailureDomain(f"d{number % DOMAINS}"),
+        f"tcp://10.0.{number // 250}.{number % 250}:8082",
+        "",
+        "",
+        1,
+        messages.MemberState.ALIVE,
+        True,
+    )
+
+
+def _number(node: ids.NodeId) -> int:
+    return int(node.removeprefix("vm-"))
+
+
+_BASE = deployment.files(deployment.BRITTANY)
+
+
+def _objects(generation: int) -> list[tuple[str, int, bytes]]:
+    """Return the store's objects of a generation, head last."""
+    change = folder.File("99.yaml", b"# change %d\n" % generation)
+    files = (*_BASE, change)
+    head = accepted.Head(
+        ids.Generation(generation),
+        "ana",
+        str(generation),
+        accepted.refs(files),
+    )
+    objects = [
+        (accepted.object_name(file.sha256), 1, file.content) for file in files
+    ]
+    raw = accepted.encode_head(head)
+    return [*objects, (accepted.HEAD_NAME, 10 + generation, raw)]
+
+
+def measure(members: int) -> Spread:
+    """Spread one change from a watcher in each failure domain."""
+    fleet = _Fleet(members)
+    for node in range(members):
+        fleet.give(node, 1)
+    now_ms = 0.0
+    while now_ms < SETTLE_MS:
+        fleet.tick(now_ms)
+        now_ms += STEP_MS
+    fleet.bytes = 0
+    began_ms = now_ms
+    for watcher in range(DOMAINS):
+        fleet.give(watcher, 2)
+    while now_ms - began_ms < LIMIT_MS and not _done(fleet):
+        fleet.tick(now_ms)
+        now_ms += STEP_MS
+    seconds = (now_ms - began_ms) / 1e3
+    return Spread(round(seconds, 2), round(fleet.bytes / 1e3 / members, 2))
+
+
+def _done(fleet: _Fleet) -> bool:
+    for held in fleet.catalogs:
+        if held.head is None or held.head.generation < 2:
+            return False
+    return True
--- a/packages/policy/src/godwitflow/policy/membership.py
+++ b/packages/policy/src/godwitflow/policy/membership.py
@@ -71,6 +71,7 @@
         self.changed = True
         self.pauses = 0
         self.digests: tuple[messages.Digest, ...] = ()
+        self._doubtful: set[ids.NodeId] = set()
         self._round: list[ids.NodeId] = []
         self._news: dict[ids.NodeId, int] = {}
         self._probes: dict[int, _Probe] = {}
@@ -145,7 +146,8 @@
         self.pauses += 1
         self._probes.clear()
         self._relays.clear()
-        for member in self.members.values():
+        for node in self._doubtful:
+            member = self.members[node]
             if member.update.state is _STATES.SUSPECT:
                 member.since_ms = now_ms
 
@@ -196,17 +198,20 @@
     ) -> None:
         member.update = _replace(member.update, state=state)
         member.since_ms = now_ms
+        self._note_doubt(member.update)
         self._spread(member.update.node)
         self.changed = True
 
     def _check_suspects(self, now_ms: float) -> None:
-        for node, member in list(self.members.items()):
+        for node in list(self._doubtful):
+            member = self.members[node]
             state = member.update.state
             age_ms = now_ms - member.since_ms
             if state is _STATES.SUSPECT and age_ms > SUSPICION_MS:
                 self._set_state(now_ms, member, _STATES.DEAD)
             elif state is _STATES.DEAD and age_ms > DEAD_KEPT_MS:
                 del self.members[node]
+                self._doubtful.discard(node)
                 self._news.pop(node, None)
 
     def _probe_next(self, now_ms: float) -> list[SendTo]:
@@ -309,9 +314,17 @@
         else:
             member.update = update
             member.since_ms = now_ms
+        self._note_doubt(update)
         self._spread(update.node)
         self.changed = True
 
+    def _note_doubt(self, update: messages.MemberUpdate) -> None:
+        """Keep apart the rows that time alone can change."""
+        if update.state in (_STATES.SUSPECT, _STATES.DEAD):
+            self._doubtful.add(update.node)
+        else:
+            self._doubtful.discard(update.node)
+
     def add_roster(
         self, now_ms: float, updates: typing.Iterable[messages.MemberUpdate]
     ) -> None:
--- a/packages/policy/src/godwitflow/policy/ownership.py
+++ b/packages/policy/src/godwitflow/policy/ownership.py
@@ -2,6 +2,7 @@
 
 import bisect
 import dataclasses
+import functools
 import hashlib
 import math
 
@@ -11,6 +12,7 @@
 CANDIDATES = 3
 POINTS_A_NODE = 16
 MANY_SHARE = 20
+CACHED_HASHES = 16_384
 _MASK = (1 << 64) - 1
 _MIX = 0x9E3779B97F4A7C15
 _MIX_2 = 0xBF58476D1CE4E5B9
@@ -24,6 +26,7 @@
     failure_domain: ids.FailureDomain
 
 
+@functools.lru_cache(maxsize=CACHED_HASHES)
 def hash64(text: str) -> int:
     """Hash text to 64 bits, the same on every node."""
     digest = hashlib.blake2b(text.encode(), digest_size=8)
--- a/packages/policy/src/godwitflow/policy/watchers.py
+++ b/packages/policy/src/godwitflow/policy/watchers.py
@@ -5,6 +5,7 @@
 from the failure domains and the objects, not from the size of the fleet.
 """
 
+import heapq
 import typing
 
 from godwitflow.model import ids
@@ -49,5 +50,5 @@
         node_hash = ownership.hash64(member.node)
         return ownership.score(key_hash, node_hash)
 
-    ranked = sorted(members, key=weight, reverse=True)
-    return [member.node for member in ranked[:count]]
+    ranked = heapq.nlargest(count, members, key=weight)
+    return [member.node for member in ranked]
