--- /dev/null
+++ b/packages/policy/tests/test_membership.py
@@ -0,0 +1,168 @@
+"""Tests of membership on a virtual clock with a small network."""
+
+import unittest
+
+from godwitflow.policy import membership
+from godwitflow.wire import messages
+
+STATES = messages.MemberState
+STEP_MS = 50.0
+
+
+def row(number, incarnation=1, state=STATES.ALIVE):
+    return messages.MemberUpdate(
+        f"vm{number}",
+        f"d{number % 3}",
+        f"tcp://{number}",
+        f"http://{number}",
+        "",
+        incarnation,
+        state,
+        True,
+    )
+
+
+class Net:
+    """Nodes that exchange messages; ``cut`` drops some of them."""
+
+    def __init__(self, count):
+        rows = [row(number) for number in range(count)]
+        self.tables = {}
+        for number, me in enumerate(rows):
+            table = membership.Membership(me, number)
+            table.merge(0.0, rows)
+            self.tables[me.node] = table
+        self.paused = set()
+        self.cut = lambda origin, target: False
+        self.now_ms = 0.0
+        self.sent = 0
+
+    def post(self, origin, actions):
+        for action in actions:
+            self.sent += 1
+            target = action.node
+            gone = target not in self.tables or target in self.paused
+            if gone or self.cut(origin, target):
+                continue
+            self.handle(origin, target, action.message)
+
+    def handle(self, origin, target, message):
+        table = self.tables[target]
+        inner = self.tables[origin].me.inner
+        match message:
+            case messages.Probe():
+                actions = table.on_probe(self.now_ms, origin, inner, message)
+            case messages.ProbeAck():
+                actions = table.on_ack(self.now_ms, message)
+            case messages.ProbeVia():
+                actions = table.on_probe_via(
+                    self.now_ms, origin, inner, message
+                )
+        self.post(target, actions)
+
+    def run(self, span_ms):
+        until_ms = self.now_ms + span_ms
+        while self.now_ms < until_ms:
+            self.now_ms += STEP_MS
+            for node, table in list(self.tables.items()):
+                if node not in self.paused:
+                    self.post(node, table.tick(self.now_ms))
+
+    def states(self, of):
+        return {
+            node: table.members[of].update.state
+            for node, table in self.tables.items()
+            if node != of and of in table.members
+        }
+
+
+class MembershipTest(unittest.TestCase):
+    def test_lost_member_is_dead_for_all_in_seconds(self):
+        net = Net(9)
+        net.run(2_000.0)
+        del net.tables["vm4"]
+        net.run(9_000.0)
+        self.assertEqual({STATES.DEAD}, set(net.states("vm4").values()))
+        others = [table.alive() for table in net.tables.values()]
+        self.assertEqual({8}, {len(alive) for alive in others})
+
+    def test_asymmetric_partition_evicts_nobody(self):
+        """Two domains cannot reach each other; the third helps out."""
+        net = Net(9)
+        net.cut = lambda origin, target: (
+            int(origin[2:]) % 3 == 0 and int(target[2:]) % 3 == 1
+        )
+        net.run(20_000.0)
+        for table in net.tables.values():
+            self.assertEqual(9, len(table.alive()))
+
+    def test_paused_node_resumes_and_evicts_nobody(self):
+        net = Net(6)
+        net.run(1_000.0)
+        net.paused.add("vm2")
+        net.run(1_400.0)
+        suspects = [
+            state
+            for state in net.states("vm2").values()
+            if state is STATES.SUSPECT
+        ]
+        net.run(600.0)
+        net.paused.discard("vm2")
+        net.run(8_000.0)
+        self.assertEqual(1, net.tables["vm2"].pauses)
+        for table in net.tables.values():
+            self.assertEqual(6, len(table.alive()), suspects)
+        self.assertGreaterEqual(net.tables["vm2"].me.incarnation, 1)
+
+    def test_dead_member_that_lives_refutes(self):
+        table = membership.Membership(row(0), 1)
+        table.merge(0.0, [row(0, 4, STATES.DEAD)])
+        self.assertEqual(5, table.me.incarnation)
+        self.assertIs(STATES.ALIVE, table.me.state)
+
+    def test_restart_replaces_the_dead(self):
+        table = membership.Membership(row(0), 1)
+        table.merge(0.0, [row(1), row(1, 1, STATES.DEAD)])
+        self.assertEqual(1, len(table.alive()))
+        table.merge(0.0, [row(1, 1)])
+        self.assertEqual(1, len(table.alive()))
+        table.merge(0.0, [row(1, 2)])
+        self.assertEqual(2, len(table.alive()))
+
+    def test_leaving_spreads_and_takes_no_work(self):
+        net = Net(9)
+        net.run(1_000.0)
+        net.tables["vm1"].leave()
+        net.run(4_000.0)
+        self.assertEqual({STATES.LEAVING}, set(net.states("vm1").values()))
+        for table in net.tables.values():
+            self.assertNotIn("vm1", [item.node for item in table.alive()])
+
+    def test_roster_adds_and_never_overrules(self):
+        table = membership.Membership(row(0), 1)
+        table.merge(0.0, [row(1, 3, STATES.LEAVING)])
+        table.add_roster(0.0, [row(1, 9), row(2, 0)])
+        self.assertIs(STATES.LEAVING, table.find("vm1").state)
+        self.assertEqual(0, table.find("vm2").incarnation)
+
+    def test_messages_a_node_do_not_grow_with_the_fleet(self):
+        rates = []
+        for count in (9, 45):
+            net = Net(count)
+            net.run(1_000.0)
+            net.sent = 0
+            net.run(10_000.0)
+            rates.append(net.sent / count / 10.0)
+        self.assertAlmostEqual(rates[0], rates[1], delta=0.5)
+
+    def test_news_stays_bounded(self):
+        table = membership.Membership(row(0), 1)
+        table.merge(0.0, [row(number) for number in range(1, 200)])
+        actions = []
+        now_ms = 0.0
+        while not actions:
+            now_ms += STEP_MS
+            actions = table.tick(now_ms)
+        self.assertLessEqual(
+            len(actions[0].message.updates), membership.NEWS_A_MESSAGE + 1
+        )
