Replace nine nodes one after another under load, live

Cause: nothing showed the nodes in concert.

Change: make concert starts nine nodes and stand-ins on loopback, sends queries and bookings, takes the store away for 10 s, applies a configuration, replaces every node, and counts what callers saw.

--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,7 @@
 
 BENCH_PORT ?= 18391
 
-.PHONY: test demo demo-nordvind measure bench slopes lint clean
+.PHONY: test demo demo-nordvind measure bench slopes concert lint clean
 
 $(STAMP): requirements.txt $(wildcard packages/*/pyproject.toml)
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -63,6 +63,10 @@
 	@$(BIN)/python -m godwitflow.lab.slopes out/slopes.csv
 	@$(BIN)/python -m godwitflow.lab.plots out/slopes.csv out/slopes.png
 
+# Nine nodes replaced under load, live on loopback; JSON=1 for a line.
+concert: $(STAMP)
+	@JSON=$(JSON) $(BIN)/python -m godwitflow.lab.concert
+
 lint: $(STAMP)
 	$(BIN)/ruff format --check --quiet packages
 	$(BIN)/flake8 packages
--- /dev/null
+++ b/packages/lab/src/godwitflow/lab/concert.py
@@ -0,0 +1,365 @@
+"""Nine nodes replaced one after another under load, live on loopback."""
+
+import collections
+import dataclasses
+import gc
+import os
+import pathlib
+import random
+import time
+import typing
+
+import msgspec
+from twisted.internet import defer
+from twisted.internet import task
+
+from godwitflow.caller import client
+from godwitflow.daemon import node as node_module
+from godwitflow.fakes import deployment
+from godwitflow.fakes import upstream
+from godwitflow.lab import stage as stage_module
+from godwitflow.model import answers
+from godwitflow.model import errors
+from godwitflow.platform import changes
+from godwitflow.settings import folder
+
+NODES = 9
+QUERY_GAP_S = 0.12
+BOOKING_GAP_S = 0.3
+OUTAGE_FROM_S = 6.0
+OUTAGE_S = 10.0
+APPLY_AT_S = 18.0
+IN_FORCE_LIMIT_S = 17.0
+RESEND_GAP_S = 0.4
+RESENDS = 3
+CALLERS = 3
+
+SHAPE = deployment.Deployment(
+    "concert",
+    ("brest", "quimper", "rennes", "vannes"),
+    deployment.BRITTANY.priorities,
+    (deployment.ServiceShape("planning", 6, 2, upstream.Shape(2, 25, 2, 8)),),
+    "planning",
+)
+
+
+class Result(msgspec.Struct):
+    """What happened; times in seconds unless a name says otherwise."""
+
+    seconds: float = 0.0
+    sent: int = 0
+    answered: int = 0
+    partial: int = 0
+    refused_not_run: dict[str, int] = {}
+    unknown: int = 0
+    cut: int = 0
+    bookings_run: int = 0
+    doubled: int = 0
+    lost_claims: int = 0
+    wrong_coverage: int = 0
+    apply_in_force_s: float = -1.0
+    reverts: int = 0
+    store_calls_per_s: float = 0.0
+    control_cpu_ms_per_s_a_node: float = 0.0
+    memory_mb_a_node: float = 0.0
+    nodes_replaced: int = 0
+
+    def broken(self) -> list[str]:
+        """Name the promises that did not hold."""
+        found = [
+            name
+            for name in (
+                "cut",
+                "doubled",
+                "lost_claims",
+                "wrong_coverage",
+                "reverts",
+            )
+            if getattr(self, name)
+        ]
+        if not 0.0 <= self.apply_in_force_s <= IN_FORCE_LIMIT_S:
+            found.append("apply_in_force_s")
+        if self.nodes_replaced < NODES:
+            found.append("nodes_replaced")
+        return found
+
+
+@dataclasses.dataclass
+class _Booking:
+    payload: str
+    answered: bool = False
+    not_run: bool = False
+
+
+class Concert:
+    """The load, the replacements, the outage and the count."""
+
+    def __init__(self, reactor: typing.Any) -> None:
+        self.reactor = reactor
+        self.stage = stage_module.Stage(reactor, SHAPE)
+        self.result = Result()
+        self.refusals: collections.Counter[str] = collections.Counter()
+        self.bookings: list[_Booking] = []
+        self.generations: list[list[int]] = []
+        self.control_s = 0.0
+        self.node_seconds = 0.0
+        self.running = True
+        self.open: list[defer.Deferred] = []
+        self.random = random.Random(1)
+
+    async def run(self) -> Result:
+        """Play it and return the counts."""
+        before_mb = _resident_mb()
+        await self.stage.publish()
+        await self.stage.start_nodes(NODES)
+        await self.stage.wait_ready(NODES)
+        self.result.memory_mb_a_node = (_resident_mb() - before_mb) / NODES
+        for node in self.stage.nodes.values():
+            self._watch_node(node)
+        self.callers = [
+            client.Caller(
+                self.reactor,
+                self.stage.entry_points(),
+                random.Random(place),
+            )
+            for place in range(CALLERS)
+        ]
+        began_s = self.reactor.seconds()
+        self.stage.platform.calls.clear()
+        loads = [self._queries(), self._bookings(), self._outage()]
+        playing = [defer.ensureDeferred(item) for item in loads]
+        applying = defer.ensureDeferred(self._apply())
+        await self._replace_all()
+        await applying
+        self.running = False
+        await defer.gatherResults(playing)
+        await defer.gatherResults(self.open)
+        self.result.seconds = self.reactor.seconds() - began_s
+        await self._close()
+        self._count()
+        return self.result
+
+    # Load -------------------------------------------------------------
+
+    async def _sleep(self, seconds: float) -> None:
+        await task.deferLater(self.reactor, seconds, lambda: None)
+
+    async def _queries(self) -> None:
+        number = 0
+        while self.running:
+            number += 1
+            rank = number % len(SHAPE.priorities)
+            asking = self._query(number, SHAPE.priorities[rank][0])
+            self.open.append(defer.ensureDeferred(asking))
+            await self._sleep(QUERY_GAP_S)
+
+    async def _query(self, number: int, priority: str) -> None:
+        caller = self.random.choice(self.callers)
+        ask = client.Ask("planning", {"n": number % 50}, priority)
+        result = await self._ask(caller, ask)
+        match result:
+            case answers.Answer():
+                self.result.answered += 1
+                self.result.partial += not result.coverage.complete
+                self.result.wrong_coverage += not _honest(result)
+            case answers.Refusal(ran=answers.Ran.NOT_RUN, code=code):
+                self.refusals[code.value] += 1
+            case answers.Refusal():
+                self.result.unknown += 1
+
+    async def _ask(
+        self, caller: client.Caller, ask: client.Ask
+    ) -> client.Result | None:
+        self.result.sent += 1
+        try:
+            return await caller.ask(ask)
+        except errors.OutcomeUnknownError:
+            self.result.cut += 1
+        except errors.NoAddressError:
+            self.result.cut += 1
+        return None
+
+    async def _bookings(self) -> None:
+        number = 0
+        while self.running:
+            number += 1
+            booking = _Booking(f"seat-{number}")
+            self.bookings.append(booking)
+            self.open.append(defer.ensureDeferred(self._book(booking)))
+            await self._sleep(BOOKING_GAP_S)
+
+    async def _book(self, booking: _Booking) -> None:
+        """Send a booking, and send it again under its key if need be."""
+        ask = client.Ask(
+            "planning",
+            booking.payload,
+            SHAPE.priorities[0][0],
+            idempotent=False,
+            request_key=client.new_key(),
+            shard_key=booking.payload,
+        )
+        for _ in range(RESENDS):
+            caller = self.random.choice(self.callers)
+            result = await self._ask(caller, ask)
+            match result:
+                case answers.Answer():
+                    self.result.answered += 1
+                    booking.answered = True
+                    booking.not_run = False
+                    return
+                case answers.Refusal(ran=answers.Ran.NOT_RUN, code=code):
+                    self.refusals[code.value] += 1
+                    booking.not_run = True
+                case _:
+                    self.result.unknown += 1
+                    booking.not_run = False
+                    return
+            await self._sleep(RESEND_GAP_S)
+
+    # Events -----------------------------------------------------------
+
+    async def _outage(self) -> None:
+        await self._sleep(OUTAGE_FROM_S)
+        self.stage.platform.down = True
+        await self._sleep(OUTAGE_S)
+        self.stage.platform.down = False
+
+    async def _apply(self) -> None:
+        await self._sleep(APPLY_AT_S)
+        files = (
+            *deployment.files(SHAPE),
+            folder.File("90-more.yaml", b"addresses: {count: 4}\n"),
+        )
+        store = self.stage.platform.store
+        done = await changes.apply(store, files, "ana")
+        began_s = self.reactor.seconds()
+        while not self._in_force(done.generation):
+            await self._sleep(0.02)
+            if self.reactor.seconds() - began_s > IN_FORCE_LIMIT_S + 1:
+                return
+        self.result.apply_in_force_s = self.reactor.seconds() - began_s
+
+    def _in_force(self, generation: int) -> bool:
+        heads = [node.catalog.head for node in self.stage.nodes.values()]
+        return all(
+            head is not None and head.generation >= generation
+            for head in heads
+        )
+
+    async def _replace_all(self) -> None:
+        """Replace each node: a new one first, then the old one leaves."""
+        domains = SHAPE.failure_domains
+        for number, name in enumerate(list(self.stage.nodes)):
+            domain = domains[number % len(domains)]
+            fresh = await self.stage.start_node(f"new{number + 1}", domain)
+            self._watch_node(fresh)
+            node = self.stage.nodes[name]
+            await self._wait_serving(fresh)
+            del self.stage.nodes[name]
+            await self.stage.publish_vms()
+            await node.stop()
+            self.result.nodes_replaced += 1
+
+    async def _wait_serving(self, node: node_module.Node) -> None:
+        await self.stage.wait_until(lambda: node.front.serving)
+
+    def _watch_node(self, node: node_module.Node) -> None:
+        """Time the control work of a node and keep its generations."""
+        self.generations.append(
+            typing.cast(list[int], node.catalog.generations)
+        )
+        node.control.tick = self._timed(  # type: ignore[method-assign]
+            node.control.tick
+        )
+        node._handle_control = self._timed(  # type: ignore[method-assign]
+            node._handle_control
+        )
+
+    def _timed(self, work: typing.Callable) -> typing.Callable:
+        def timed(*args: typing.Any) -> typing.Any:
+            began_s = time.process_time()
+            try:
+                return work(*args)
+            finally:
+                self.control_s += time.process_time() - began_s
+
+        return timed
+
+    async def _close(self) -> None:
+        for caller in self.callers:
+            await caller.close()
+        await self.stage.stop_nodes()
+        await self.stage.close()
+
+    # Counts -----------------------------------------------------------
+
+    def _count(self) -> None:
+        result = self.result
+        result.refused_not_run = dict(self.refusals)
+        for booking in self.bookings:
+            payload = msgspec.json.encode(booking.payload).decode()
+            runs = self.stage.fleet.runs_of(payload)
+            result.bookings_run += runs > 0
+            result.doubled += runs > 1
+            result.lost_claims += booking.answered and runs == 0
+            result.lost_claims += booking.not_run and runs > 0
+        for seen in self.generations:
+            result.reverts += seen != sorted(seen)
+        calls = sum(self.stage.platform.calls.values())
+        result.store_calls_per_s = round(calls / result.seconds, 2)
+        spent_ms = self.control_s * 1e3
+        per_node = spent_ms / result.seconds / NODES
+        result.control_cpu_ms_per_s_a_node = round(per_node, 3)
+
+
+def _honest(answer: answers.Answer) -> bool:
+    rows = msgspec.json.decode(bytes(answer.rows))
+    shards = {row["shard"] for row in rows}
+    snapshots = {row["snapshot"] for row in rows}
+    coverage = answer.coverage
+    right = len(shards) == len(rows) == coverage.answered
+    whole = coverage.answered + len(coverage.missing) == coverage.total
+    return right and whole and snapshots <= {answer.snapshot}
+
+
+def _resident_mb() -> float:
+    text = pathlib.Path("/proc/self/statm").read_text()
+    return int(text.split()[1]) * os.sysconf("SC_PAGE_SIZE") / 1e6
+
+
+def _print(result: Result) -> None:
+    if os.environ.get("JSON"):
+        print(msgspec.json.encode(result).decode())
+        return
+    for name in result.__struct_fields__:
+        value = getattr(result, name)
+        if isinstance(value, float):
+            value = round(value, 3)
+        print(f"{name:30} {value}")
+    broken = result.broken()
+    print("broken:", ", ".join(broken) if broken else "no promise")
+
+
+def main() -> None:
+    """Run the concert; exit 1 where a promise broke."""
+    gc.freeze()
+    gc.set_threshold(50_000, 20, 100)
+    kept: list[Result] = []
+
+    async def work(reactor: typing.Any) -> None:
+        kept.append(await Concert(reactor).run())
+
+    def begin(reactor: typing.Any) -> typing.Any:
+        return defer.ensureDeferred(work(reactor))
+
+    try:
+        task.react(begin)
+    except SystemExit as stop:
+        if stop.code:
+            raise
+    _print(kept[0])
+    raise SystemExit(1 if kept[0].broken() else 0)
+
+
+if __name__ == "__main__":
+    main()
