--- a/packages/daemon/src/godwitflow/daemon/control.py
+++ b/packages/daemon/src/godwitflow/daemon/control.py
@@ -27,7 +27,9 @@
 ROSTER_PERIOD_MS = 5_000.0
 POLL_PERIOD_MS = 30_000.0
 STORE_CALLS_PER_S = 5.0
+MIN_STORE_CALLS_PER_S = 0.05
 STORE_BURST = 40.0
+SMALL_FLEET = 9.0
 MAX_PUSH_OBJECTS = 50
 
 Send = typing.Callable[[ids.NodeId, messages.Message], None]
@@ -98,7 +100,7 @@
         if self.table.changed:
             self._follow_members()
         if now_ms >= self._next_roster_ms:
-            self._next_roster_ms = now_ms + ROSTER_PERIOD_MS
+            self._next_roster_ms = now_ms + ROSTER_PERIOD_MS * self._spread()
             defer.ensureDeferred(self._read_roster())
             self._greet_seeds()
         if now_ms >= self._next_poll_ms:
@@ -116,6 +118,10 @@
         if self.owners.update(members):
             self.metrics.count("owner_changes")
         self.follow_watches()
+        share = min(1.0, SMALL_FLEET / (len(self.table.members) + 1))
+        self.calls.rate_per_s = max(
+            MIN_STORE_CALLS_PER_S, STORE_CALLS_PER_S * share
+        )
         for node, member in self.table.members.items():
             dead = member.update.state is messages.MemberState.DEAD
             if dead and node not in self._gone:
@@ -148,14 +154,22 @@
 
         The wait grows with the fleet, so the fleet's rate does not.
         """
-        members = len(self.table.members) + 1
-        spread = self.random.uniform(0.5, 1.5)
-        wait_ms = POLL_PERIOD_MS * max(1.0, members / 9.0) * spread
+        wait_ms = POLL_PERIOD_MS * self._spread()
         first = self._next_poll_ms == 0.0
         self._next_poll_ms = now_ms + wait_ms
         if first and self.calls.take(now_ms):
             defer.ensureDeferred(self._fetch(accepted.HEAD_NAME))
 
+    def _spread(self) -> float:
+        """Return by how much to stretch a period, with some jitter.
+
+        It grows with the fleet, so that the fleet's calls to the store
+        do not.
+        """
+        members = len(self.table.members) + 1
+        stretch = max(1.0, members / SMALL_FLEET)
+        return stretch * self.random.uniform(0.5, 1.5)
+
     # Members ----------------------------------------------------------
 
     async def _read_roster(self) -> None:
--- a/packages/settings/src/godwitflow/settings/documents.py
+++ b/packages/settings/src/godwitflow/settings/documents.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import functools
 import typing
 
 import yaml
@@ -13,6 +14,7 @@
 from godwitflow.settings import problems
 
 MAX_DEPTH = 20
+CACHED_DOCUMENTS = 4_096
 PLAIN_TAGS = frozenset(
     f"tag:yaml.org,2002:{name}"
     for name in ("map", "seq", "str", "int", "float", "bool", "null")
@@ -122,12 +124,15 @@
     return problems.Problem(place, "", f"broken YAML: {text}", "YAML")
 
 
+@functools.lru_cache(maxsize=CACHED_DOCUMENTS)
 def read(
     file: str, content: bytes
 ) -> tuple[Mapping, tuple[problems.Problem, ...]]:
     """Read one document; return its tree and every problem found.
 
-    An empty document reads as an empty mapping.
+    An empty document reads as an empty mapping. Results are kept, since
+    a new generation mostly holds the files of the last one; callers must
+    not change the tree.
     """
     empty = Mapping(problems.Place(file), {}, {})
     try:
