--- a/packages/cli/src/godwitflow/cli/main.py
+++ b/packages/cli/src/godwitflow/cli/main.py
@@ -325,7 +325,9 @@
 
 @app.command
 def demo(
-    *, deployment: typing.Literal["brittany", "svealand"] = "brittany"
+    *,
+    deployment: typing.Literal["brittany", "svealand"] = "brittany",
+    serve_s: float = 0.0,
 ) -> int:
     """Run stand-ins and three nodes in this process, and ask them.
 
@@ -333,10 +335,12 @@
     ----------
     deployment
         Whose sizes to use.
+    serve_s
+        Go on serving for so many seconds, to try calls by hand.
     """
     from godwitflow.lab import demo as demo_module
 
-    return _run(lambda reactor: demo_module.run(reactor, deployment))
+    return _run(lambda reactor: demo_module.run(reactor, deployment, serve_s))
 
 
 def main() -> None:
--- a/packages/daemon/src/godwitflow/daemon/front.py
+++ b/packages/daemon/src/godwitflow/daemon/front.py
@@ -180,8 +180,11 @@
         key = f"{query.service}/{query.request_key}"
         budget_ms = pinned.deadline_ms - ANSWER_MARGIN_MS
         began_ms = self.now_ms()
+        hop = self._start_hop("front.claim", pinned.span)
         claim = await self.journal.claim(key, budget_ms)
         claim_ms = self.now_ms() - began_ms
+        if hop is not None:
+            hop.end(verdict=claim.reply.verdict.name.lower())
         refusal = _claim_refusal(claim.reply, pinned)
         if refusal is not None:
             return refusal
@@ -193,6 +196,13 @@
         self.journal.outcome(claim, ran, note)
         return result
 
+    def _start_hop(
+        self, name: str, parent: tracing.Span | None
+    ) -> tracing.Span | None:
+        if parent is None:
+            return None
+        return self.tracer.start(name, parent.traceparent)
+
     async def _run(
         self, pinned: _Pinned, order: int, claim_ms: float
     ) -> Result:
--- a/packages/lab/src/godwitflow/lab/demo.py
+++ b/packages/lab/src/godwitflow/lab/demo.py
@@ -4,6 +4,7 @@
 import typing
 
 import msgspec
+from twisted.internet import task
 
 from godwitflow.caller import client
 from godwitflow.fakes import deployment as deployment_module
@@ -29,8 +30,11 @@
             return f"{text:22} refusal: {code.value}, {ran.value}: {message}"
 
 
-async def run(reactor: typing.Any, name: str) -> int:
-    """Run the demo for one deployment; return the exit code."""
+async def run(reactor: typing.Any, name: str, serve_s: float = 0.0) -> int:
+    """Run the demo for one deployment; return the exit code.
+
+    With ``serve_s`` the nodes go on serving for so many seconds.
+    """
     deployment = deployment_module.DEPLOYMENTS[name]
     trace_file = stage_module.new_trace_file("demo-traces.jsonl")
     stage = stage_module.Stage(
@@ -42,10 +46,15 @@
     await stage.wait_ready(NODES)
     caller = client.Caller(reactor, stage.entry_points())
     print("addresses:", ", ".join(await caller.addresses()))
+    urls = (node.operator_url for node in stage.nodes.values())
+    print("operators:", ", ".join(urls))
     good = await _ask_all(caller, deployment)
     booked, trace_id = await _book(caller, stage)
     good &= booked
     await caller.close()
+    if serve_s > 0.0:
+        print(f"serving for {serve_s:g} s")
+        await task.deferLater(reactor, serve_s, lambda: None)
     await stage.stop_nodes()
     await stage.close()
     _print_trace(pathlib.Path(trace_file), trace_id)
--- a/packages/policy/src/godwitflow/policy/journal.py
+++ b/packages/policy/src/godwitflow/policy/journal.py
@@ -266,8 +266,13 @@
         return actions
 
     def _reply_taken(self, pending: _Pending, entry: Entry) -> ReplyClaim:
-        if entry.ran is answers.Ran.RAN:
-            return self._reply(pending, _VERDICTS.RAN_BEFORE, entry.note)
+        ran, note = entry.ran, entry.note
+        for outcome in self._writing_outcomes + self._outcomes:
+            # What a front has reported is true before it is stored.
+            if outcome.claimer == entry.claimer:
+                ran, note = outcome.ran, outcome.note
+        if ran is answers.Ran.RAN:
+            return self._reply(pending, _VERDICTS.RAN_BEFORE, note)
         return self._reply(pending, _VERDICTS.UNKNOWN_BEFORE)
 
     def _write(self, now_ms: float, unix_ms: float) -> list[Action]:
--- a/packages/policy/tests/test_journal.py
+++ b/packages/policy/tests/test_journal.py
@@ -248,6 +248,8 @@
         self.assertEqual([(2, VERDICTS.UNKNOWN_BEFORE)], again)
         ran = messages.Outcome(0, KEY, "f/1", answers.Ran.RAN, "shard s3")
         self.partition.outcome(0.0, 0.0, ran)
+        (early,) = self.claim(4)
+        self.assertEqual(VERDICTS.RAN_BEFORE, early.reply.verdict)
         self.partition.on_written(0.0, 0.0, 2)
         (reply,) = self.claim(3)
         self.assertEqual(VERDICTS.RAN_BEFORE, reply.reply.verdict)
