--- a/packages/daemon/src/godwitflow/daemon/front.py
+++ b/packages/daemon/src/godwitflow/daemon/front.py
@@ -375,9 +375,8 @@
                 for hop, spent_ms in hops:
                     self.metrics.record(query.service, priority, hop, spent_ms)
             case answers.Refusal(code=code):
-                known = code is not answers.RefusalCode.UNKNOWN_SERVICE
                 reason = code.value
-                if known and code is not answers.RefusalCode.UNKNOWN_PRIORITY:
+                if self._labels_known(query):
                     self.metrics.count(
                         "refusals",
                         reason=reason,
@@ -387,6 +386,15 @@
                 else:
                     self.metrics.count("refusals", reason=reason)
 
+    def _labels_known(self, query: queries.Query) -> bool:
+        """Tell whether the names are ours, not whatever a caller sent."""
+        held = self.catalog.config
+        service = held.services.get(query.service) if held else None
+        return (
+            service is not None
+            and service.priority(query.priority) is not None
+        )
+
     @property
     def idle(self) -> bool:
         """Whether no query is under way."""
--- a/packages/policy/tests/test_journal.py
+++ b/packages/policy/tests/test_journal.py
@@ -49,6 +49,16 @@
                 case _:
                     self.ops.append(Op(node, self.lives[node], action))
 
+    def clone(self):
+        """Copy what a move may change; actions are never changed."""
+        after = copy.copy(self)
+        after.nodes = [clone_partition(node) for node in self.nodes]
+        after.lives = list(self.lives)
+        after.ops = [copy.copy(op) for op in self.ops]
+        after.verdicts = dict(self.verdicts)
+        after.sent = list(self.sent)
+        return after
+
     def claim(self, number, node):
         self.sent.append(number)
         claim = messages.Claim(number, 0, KEY, f"f/{number}", 1_000.0)
@@ -120,6 +130,16 @@
     return journal.Partition(0, 60_000.0, 0.0)
 
 
+def clone_partition(node):
+    after = copy.copy(node)
+    after.entries = dict(node.entries)
+    after._claims = [copy.copy(pending) for pending in node._claims]
+    after._outcomes = list(node._outcomes)
+    after._writing = dict(node._writing)
+    after._writing_outcomes = list(node._writing_outcomes)
+    return after
+
+
 def moves(world):
     """Yield a function for each thing that may happen next."""
     for number in (1, 2):
@@ -192,7 +212,7 @@
         if most > 1:
             break
         for move in moves(world):
-            after = copy.deepcopy(world)
+            after = world.clone()
             move(after)
             key = after.key()
             if key not in seen:
@@ -248,13 +268,21 @@
         self.assertEqual([(2, VERDICTS.UNKNOWN_BEFORE)], again)
         ran = messages.Outcome(0, KEY, "f/1", answers.Ran.RAN, "shard s3")
         self.partition.outcome(0.0, 0.0, ran)
-        (early,) = self.claim(4)
-        self.assertEqual(VERDICTS.RAN_BEFORE, early.reply.verdict)
         self.partition.on_written(0.0, 0.0, 2)
         (reply,) = self.claim(3)
         self.assertEqual(VERDICTS.RAN_BEFORE, reply.reply.verdict)
         self.assertEqual("shard s3", reply.reply.note)
 
+    def test_outcome_is_told_before_it_is_stored(self):
+        self.partition.interval_ms = 50.0
+        self.claim(1)
+        self.partition.on_read(0.0, 0.0, b"", 0)
+        self.partition.on_written(0.0, 0.0, 1)
+        ran = messages.Outcome(0, KEY, "f/1", answers.Ran.RAN, "shard s3")
+        self.assertEqual([], self.partition.outcome(1.0, 0.0, ran))
+        (early,) = self.claim(2)
+        self.assertEqual(VERDICTS.RAN_BEFORE, early.reply.verdict)
+
     def test_not_run_frees_the_key(self):
         self.claim(1)
         self.partition.on_read(0.0, 0.0, b"", 0)
