Give load and silence modules of their own

Change: load.py says how loaded a set is, silence.py which calls to give up; the dispatcher keeps the queue, the choice and the results.

Conclusion: results are the next part that could stand alone.

--- a/packages/daemon/src/godwitflow/daemon/dispatch.py
+++ b/packages/daemon/src/godwitflow/daemon/dispatch.py
@@ -316,7 +316,7 @@
         rows: dict[ids.NodeId, list[messages.SetLoad]] = {}
         for key, clients in self._clients.items():
             found = self.sets[key]
-            load = found.load(key[0])
+            load = found.load.report(key[0], key[1])
             if not self._worth_reporting(now_ms, key, load):
                 continue
             for node, seen_at_ms in list(clients.items()):
--- a/packages/lab/src/godwitflow/lab/variant_ours.py
+++ b/packages/lab/src/godwitflow/lab/variant_ours.py
@@ -327,7 +327,7 @@
 
     def _report(self) -> None:
         loads = [
-            found.load(self.world.index.service)
+            found.load.report(self.world.index.service, found.id)
             for found in self.sets.values()
         ]
         self.clock.after(world_module.HOP_MS, self._learn_loads, loads)
--- a/packages/policy/src/godwitflow/policy/dispatcher.py
+++ b/packages/policy/src/godwitflow/policy/dispatcher.py
@@ -15,9 +15,10 @@
 from godwitflow.policy import calls
 from godwitflow.policy import hedging
 from godwitflow.policy import jobs
-from godwitflow.policy import latency
+from godwitflow.policy import load
 from godwitflow.policy import replicas
 from godwitflow.policy import scheduler
+from godwitflow.policy import silence
 from godwitflow.policy import suspects
 from godwitflow.policy import upstreams
 from godwitflow.settings import config
@@ -27,10 +28,6 @@
 RETRY_INITIAL = 2.0
 MAX_QUEUE = 20_000
 MAX_ASIDE = 8
-BUSY_WEIGHT = 0.02
-SHARE_WEIGHT = 0.4
-SHARE_WINDOW = 25
-MIN_SHARE = 0.02
 URGENT_RECENT_MS = 1_000.0
 RESERVE_SHARE = 0.2
 RESERVE_FROM_BUSY = 0.75
@@ -38,10 +35,6 @@
 EXPIRY_CHECK_MS = 10.0
 MIN_WAKEUP_MS = 0.5
 SILENCE_CHECK_MS = 50.0
-SILENCE_MIN_MS = 50.0
-SILENCE_FACTOR = 3.0
-SILENCE_REPLIES = 3
-SILENCE_ALONE_FACTOR = 12.0
 
 
 class ReplicaSet:
@@ -64,29 +57,25 @@
             self.floors
         )
         self.replicas = replicas.Replicas(members, service.slots, seed, cold)
+        self.load = load.Load(service, self.queue, self.replicas)
         self.hedging = hedging.Hedging(service.hedge)
         self.retries = budget.ShareBudget(
             service.retry_budget_share, RETRY_BURST, RETRY_INITIAL
         )
         self.calls: dict[int, calls.Call] = {}
         self.jobs: dict[tuple[str, ids.PieceId], jobs.Job] = {}
-        self.service_time = latency.Average(0.05)
-        self.busy_share = 0.0
         self.counts: collections.Counter[str] = collections.Counter()
         self._held: list[jobs.Job] = []
         self._call_ids = itertools.count(1)
         self._arrived_at_ms = [-URGENT_RECENT_MS] * len(self.floors)
-        self._start_shares = [0.0] * len(self.floors)
-        self._starts = [0] * len(self.floors)
-        self.canaries = [0] * len(self.floors)
         self._batch_since_ms: float | None = None
         self._silence_check_at_ms = 0.0
         self._expiry_check_at_ms = 0.0
-        self._slots = self.replicas.stated_slots()
 
     def apply(self, service: config.Service) -> None:
         """Take the settings of a newer configuration."""
         self.service = service
+        self.load.service = service
         self.hedging.apply(service.hedge)
         self.retries.share = service.retry_budget_share
         self.replicas.set_slots(service.slots)
@@ -95,12 +84,10 @@
         waiting = self.queue.drain()
         self.floors = service.floors
         self.queue = scheduler.Scheduler(self.floors)
+        self.load = load.Load(service, self.queue, self.replicas)
         self._arrived_at_ms = [-URGENT_RECENT_MS] * len(self.floors)
-        self._start_shares = [0.0] * len(self.floors)
-        self._starts = [0] * len(self.floors)
-        self.canaries = [0] * len(self.floors)
         for job in self.jobs.values():
-            self.canaries[self._place(job)] += job.canary
+            self.load.canaries[self._place(job)] += job.canary
         for job in waiting:
             self.queue.push(job)
 
@@ -119,7 +106,7 @@
             return [self._refuse(job, messages.PieceStatus.SHED)]
         self.jobs[key] = job
         if job.canary:
-            self.canaries[self._place(job)] += 1
+            self.load.canaries[self._place(job)] += 1
         self._arrived_at_ms[self._place(job)] = now_ms
         job.queued_at_ms = now_ms
         self.queue.push(job)
@@ -251,7 +238,7 @@
         if upstream is not None:
             return upstream
         may_probe = job.rank > 0 or len(self.floors) == 1
-        wait_ms = self.wait_ms(job.rank)
+        wait_ms = self.load.wait_ms(job.rank)
         return self.replicas.choose_doubtful(
             now_ms, survey.ready, job.tried, may_probe, wait_ms
         )
@@ -310,7 +297,7 @@
         had work lately, since a running call cannot be preempted.
         """
         last = len(self._arrived_at_ms) - 1
-        if self.busy_share < RESERVE_FROM_BUSY:
+        if self.load.busy_share < RESERVE_FROM_BUSY:
             return last
         reserve = math.ceil(survey.limit * RESERVE_SHARE)
         if survey.free > reserve or survey.limit <= 2 * reserve:
@@ -322,7 +309,7 @@
 
     def _too_late(self, now_ms: float, job: jobs.Job) -> bool:
         """Tell whether a job can no longer be answered in time."""
-        needed_ms = self.service_time.value_ms * 0.5
+        needed_ms = self.load.service_time.value_ms * 0.5
         return now_ms + needed_ms >= job.deadline_at_ms
 
     def _may_run(self, job: jobs.Job) -> bool:
@@ -343,14 +330,16 @@
         )
         self.calls[call.id] = call
         upstream.on_start()
-        self._sample_busy()
+        self.load.on_call(len(self.calls))
         for job in batch:
             job.calls.add(call.id)
             job.tried.append(upstream.id)
             job.call_count += 1
             if job.started_at_ms is None:
                 job.started_at_ms = now_ms
-                self._note_first_start(job)
+                self.hedging.budget.on_primary()
+                self.retries.on_primary()
+                self.load.on_first_start(self._place(job))
         if batch[0].canary or not self.suspects.quiet:
             self._track_trials(now_ms, batch)
         self.counts["calls"] += 1
@@ -368,21 +357,6 @@
                 job.trials += 1
                 self.suspects.on_start(job.fingerprint, now_ms)
 
-    def _note_first_start(self, job: jobs.Job) -> None:
-        self.hedging.budget.on_primary()
-        self.retries.on_primary()
-        self._starts[self._place(job)] += 1
-        if sum(self._starts) >= SHARE_WINDOW:
-            self._follow_shares()
-
-    def _follow_shares(self) -> None:
-        """Follow each rank's share of the last starts."""
-        total = sum(self._starts)
-        for rank, count in enumerate(self._starts):
-            change = count / total - self._start_shares[rank]
-            self._start_shares[rank] += SHARE_WEIGHT * change
-        self._starts = [0] * len(self.floors)
-
     def _end_trials(
         self, now_ms: float, call: calls.Call, crashed: bool
     ) -> None:
@@ -402,7 +376,7 @@
         first = open_jobs[0]
         if first.canary or self.suspects.suspected(first.fingerprint):
             return []
-        room = self.hedging.room(self.busy_share)
+        room = self.hedging.room(self.load.busy_share)
         if self.replicas.random.random() >= room:
             self.counts["hedges_no_room"] += 1
             return []
@@ -419,30 +393,17 @@
     # Silent connections -----------------------------------------------
 
     def _abort_silent(self, now_ms: float) -> list[jobs.Action]:
-        """Give up calls whose connection has probably gone silent.
-
-        A call is overdue while later calls to the same upstream have
-        answered, or it takes many times longer than any call should. A
-        request that may run only once is never given up early.
-        """
-        late_ms = self.hedging.delay_ms
+        """Give up calls whose connection has probably gone silent."""
         self._silence_check_at_ms = now_ms + SILENCE_CHECK_MS
+        self.load.slots = self.replicas.stated_slots()
+        late_ms = self.hedging.delay_ms
         if late_ms is None:
             return []
-        self._slots = self.replicas.stated_slots()
-        soon_ms = max(SILENCE_MIN_MS, SILENCE_FACTOR * late_ms)
-        alone_ms = max(SILENCE_MIN_MS, SILENCE_ALONE_FACTOR * late_ms)
         actions: list[jobs.Action] = []
-        for call in self.calls.values():
-            elapsed_ms = now_ms - call.started_at_ms
-            overtaken = call.replies_since() >= SILENCE_REPLIES
-            limit_ms = soon_ms if overtaken else alone_ms
-            if elapsed_ms < limit_ms or call.aborted:
-                continue
-            if all(job.idempotent for job in call.jobs):
-                call.aborted = True
-                self.counts["aborted"] += 1
-                actions.append(jobs.AbortCall(call.id, call.upstream.id))
+        for call in silence.overdue(self.calls.values(), late_ms, now_ms):
+            call.aborted = True
+            self.counts["aborted"] += 1
+            actions.append(jobs.AbortCall(call.id, call.upstream.id))
         return actions
 
     # Results ----------------------------------------------------------
@@ -455,7 +416,7 @@
             call.upstream.leaving = True
         if not call.cancelled:
             call.upstream.on_success(elapsed_ms)
-            self.service_time.record(elapsed_ms)
+            self.load.service_time.record(elapsed_ms)
             self.hedging.record(elapsed_ms)
         if len(call.jobs) == 1 and len(result.items) == 1:
             only, job = result.items[0], call.jobs[0]
@@ -523,7 +484,7 @@
     def _forget(self, job: jobs.Job) -> None:
         found = self.jobs.pop((job.client, job.piece), None)
         if found is not None and job.canary:
-            self.canaries[self._place(job)] -= 1
+            self.load.canaries[self._place(job)] -= 1
 
     def _place(self, job: jobs.Job) -> int:
         return min(job.rank, len(self.floors) - 1)
@@ -578,8 +539,8 @@
         return self._retry_all(call, ran=True)
 
     def _note_late(self, now_ms: float, call: calls.Call) -> None:
-        if call.replies_since() >= SILENCE_REPLIES:
-            return  # the connection was at fault, not the upstream
+        if silence.overtaken(call):
+            return
         call.upstream.on_failure(now_ms)
         if not call.cancelled:
             call.upstream.on_late(now_ms - call.started_at_ms)
@@ -630,58 +591,9 @@
         ran: answers.Ran = answers.Ran.NOT_RUN,
     ) -> jobs.Reply:
         self.counts[status.name.lower()] += 1
-        retry_after_ms = self.wait_ms(job.rank)
+        retry_after_ms = self.load.wait_ms(job.rank)
         return jobs.Reply(job, status, ran, retry_after_ms=retry_after_ms)
 
-    # Load -------------------------------------------------------------
-
-    def _sample_busy(self) -> None:
-        busy = len(self.calls) / max(1, self._slots)
-        self.busy_share += BUSY_WEIGHT * (busy - self.busy_share)
-
-    def _share_of(self, rank: int) -> float:
-        """Return the share of starts that a rank can count on."""
-        if rank == 0:
-            waiting = range(1, len(self.floors))
-            kept = (
-                self.floors[other]
-                for other in waiting
-                if self.queue.counts[other]
-            )
-            return max(0.1, 1.0 - sum(kept))
-        more_urgent = sum(self._start_shares[:rank])
-        floor = self.floors[rank] * scheduler.FLOOR_MARGIN
-        return max(floor, 1.0 - more_urgent, MIN_SHARE)
-
-    def wait_ms(self, rank: int) -> float:
-        """Return how long a new job of a rank would queue."""
-        rank = min(rank, len(self.floors) - 1)
-        own = self.queue.counts[rank]
-        return own * self.turn_ms(rank) if own else 0.0
-
-    def turn_ms(self, rank: int) -> float:
-        """Return how much each queued piece of a rank adds to a wait."""
-        slots = max(1, self.replicas.limit())
-        each_ms = self.service_time.value_ms or replicas.UNMEASURED_MS
-        per_piece_ms = each_ms / (slots * self.service.batch_size)
-        return per_piece_ms / self._share_of(rank)
-
-    def load(self, name: ids.ServiceName) -> messages.SetLoad:
-        """Return the report that fronts base their admission on."""
-        turns = tuple(self.turn_ms(rank) for rank in range(len(self.floors)))
-        waits = tuple(
-            turn_ms * count
-            for turn_ms, count in zip(turns, self.queue.counts, strict=True)
-        )
-        return messages.SetLoad(
-            name,
-            self.id,
-            waits,
-            turns,
-            tuple(self.canaries),
-            self.busy_share,
-        )
-
 
 def _sooner(first_ms: float | None, second_ms: float) -> float:
     if first_ms is None or second_ms < first_ms:
--- a/packages/policy/tests/test_dispatcher.py
+++ b/packages/policy/tests/test_dispatcher.py
@@ -183,7 +183,7 @@
         self.assertEqual(0, self.set.queue.waiting)
         self.set.step(2.0)
         self.assertEqual(0, self.set.queue.waiting)
-        self.assertEqual(2, self.set.canaries[0])
+        self.assertEqual(2, self.set.load.canaries[0])
 
     def test_leaving_upstream_gets_no_new_work(self):
         self.set.replicas.set_leaving(frozenset(("a", "b")))
