Turn to a third owner, and away from silent ones at once

Cause: a test that loses two nodes of four at once got partial answers: a front asked two owners at most, and each new query waited 500 ms for a node already known to be silent.

Change: three owners are asked; a node that was given up goes last in the order until it is heard of again.

--- a/packages/daemon/src/godwitflow/daemon/front.py
+++ b/packages/daemon/src/godwitflow/daemon/front.py
@@ -210,7 +210,8 @@
         service = pinned.query.service
 
         def route(set_id: ids.ReplicaSetId) -> list[ids.NodeId]:
-            return self.route(f"{service}/{set_id}")
+            nodes = self.route(f"{service}/{set_id}")
+            return self.peers.prefer_heard(nodes)
 
         run = query_run.QueryRun(request, pinned.index, route, self._piece_ids)
         running = _Running(run, defer.Deferred())
--- a/packages/policy/src/godwitflow/policy/peers.py
+++ b/packages/policy/src/godwitflow/policy/peers.py
@@ -39,11 +39,19 @@
         self._heard_at_ms: dict[ids.NodeId, float] = {}
         self._checked_at_ms: float | None = None
         self._owing: set[ids.NodeId] = set()
+        self._silent: set[ids.NodeId] = set()
         self._sequence = 0
 
     def on_heard(self, node: ids.NodeId, now_ms: float) -> None:
         """Note a message from a peer."""
         self._heard_at_ms[node] = now_ms
+        self._silent.discard(node)
+
+    def prefer_heard(self, nodes: list[ids.NodeId]) -> list[ids.NodeId]:
+        """Put peers that were given up, and not heard since, last."""
+        if not self._silent:
+            return nodes
+        return sorted(nodes, key=self._silent.__contains__)
 
     def on_asked(self, node: ids.NodeId, now_ms: float) -> None:
         """Note the start of waiting for a peer that owed nothing."""
@@ -67,6 +75,7 @@
             quiet_ms = now_ms - self._heard_at_ms.get(node, now_ms)
             if quiet_ms >= SILENT_AFTER_MS:
                 self._heard_at_ms[node] = now_ms - PING_AFTER_MS
+                self._silent.add(node)
                 verdicts.append(PeerSilent(node))
             elif quiet_ms >= PING_AFTER_MS:
                 self._sequence += 1
--- a/packages/policy/src/godwitflow/policy/query_run.py
+++ b/packages/policy/src/godwitflow/policy/query_run.py
@@ -18,7 +18,7 @@
 from godwitflow.policy import gather
 from godwitflow.wire import messages
 
-MAX_OWNERS = 2
+MAX_OWNERS = 3
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/policy/tests/test_catalog.py
+++ b/packages/policy/tests/test_catalog.py
@@ -182,6 +182,9 @@
         kinds = [type(item) for item in verdicts]
         self.assertIs(peers.PingPeer, kinds[0])
         self.assertIn(peers.PeerSilent, kinds)
+        self.assertEqual(["b", "a"], table.prefer_heard(["a", "b"]))
+        table.on_heard("a", 800.0)
+        self.assertEqual(["a", "b"], table.prefer_heard(["a", "b"]))
 
     def test_own_pause_is_not_a_peers_silence(self):
         table = peers.Peers()
