Never say not run of what may have run

Cause: reading the refusals against the promise found four faults.

Change: what may have run is kept over restarts, reroutes and hedges; counts add up. Resolving a request has a module of its own, and jobs and pieces are built in one place.

Figures: four new tests fail on the old code and pass on the new.

--- a/packages/daemon/src/godwitflow/daemon/dispatch.py
+++ b/packages/daemon/src/godwitflow/daemon/dispatch.py
@@ -84,7 +84,7 @@
         service = self._service(scatter.service)
         index = self.catalog.index_of(service) if service else None
         for ref in scatter.pieces:
-            job = _job(now_ms, sender, scatter, ref)
+            job = jobs.from_scatter(now_ms, sender, scatter, ref)
             key = (scatter.service, ref.replica_set)
             found = self._set(key, service, index)
             if found is None:
@@ -247,28 +247,13 @@
         if self._spans:
             status = action.status.name.lower()
             self._end_span((job.client, job.piece), status=status)
-        piece = messages.Piece(
-            job.piece,
-            job.shard,
-            job.snapshot,
-            action.status,
-            action.ran,
-            action.rows,
-            action.queue_ms,
-            action.upstream_ms,
-            job.call_count,
-            action.retry_after_ms,
-        )
+        piece = jobs.to_piece(action)
         self.send(ids.NodeId(job.client), piece)
 
     def _reply_unavailable(self, job: jobs.Job) -> None:
-        piece = messages.Piece(
-            job.piece,
-            job.shard,
-            job.snapshot,
-            messages.PieceStatus.UNAVAILABLE,
-            answers.Ran.NOT_RUN,
-        )
+        status = messages.PieceStatus.UNAVAILABLE
+        refusal = jobs.Reply(job, status, answers.Ran.NOT_RUN)
+        piece = jobs.to_piece(refusal)
         self.send(ids.NodeId(job.client), piece)
 
     # Timers -----------------------------------------------------------
@@ -380,27 +365,3 @@
                 name = "upstream.call"
                 spans.append(self.tracer.start(name, parent.traceparent))
         return spans
-
-
-def _job(
-    now_ms: float,
-    sender: ids.NodeId,
-    scatter: messages.Scatter,
-    ref: messages.Ref,
-) -> jobs.Job:
-    return jobs.Job(
-        sender,
-        ref.piece,
-        scatter.query_id,
-        scatter.service,
-        ref.shard,
-        scatter.snapshot,
-        scatter.rank,
-        now_ms + scatter.budget_ms,
-        scatter.order,
-        scatter.idempotent,
-        scatter.canary,
-        scatter.fingerprint,
-        scatter.payload,
-        scatter.traceparent,
-    )
--- a/packages/daemon/src/godwitflow/daemon/front.py
+++ b/packages/daemon/src/godwitflow/daemon/front.py
@@ -9,10 +9,10 @@
 
 from godwitflow.daemon import clock
 from godwitflow.daemon import metrics as metrics_module
+from godwitflow.daemon import resolve
 from godwitflow.daemon import tracing
 from godwitflow.model import answers
 from godwitflow.model import ids
-from godwitflow.model import index as index_model
 from godwitflow.model import queries
 from godwitflow.policy import admission
 from godwitflow.policy import catalog
@@ -21,7 +21,6 @@
 from godwitflow.policy import ownership
 from godwitflow.policy import peers
 from godwitflow.policy import query_run
-from godwitflow.settings import config
 from godwitflow.wire import messages
 
 ANSWER_MARGIN_MS = 2.0
@@ -38,21 +37,6 @@
     timer: typing.Any = None
 
 
-@dataclasses.dataclass
-class _Pinned:
-    """What a query was resolved to when it was admitted."""
-
-    query: queries.Query
-    query_id: str
-    priority: str
-    rank: ids.Rank
-    deadline_ms: float
-    service: config.Service
-    index: index_model.Index
-    started_at_ms: float
-    span: tracing.Span | None
-
-
 class Front:
     """Admits queries, scatters them, gathers and answers."""
 
@@ -109,7 +93,8 @@
         query_id: str,
         span: tracing.Span | None,
     ) -> Result:
-        pinned = self._pin(query, query_id, span)
+        began = resolve.Arrived(query, query_id, self.now_ms(), span)
+        pinned = self._pin(began)
         if isinstance(pinned, answers.Refusal):
             return pinned
         order = ownership.hash64(query_id) & 0xFFFFFFFF
@@ -118,11 +103,10 @@
             self.now_ms(), pinned.rank, pinned.deadline_ms, order
         )
         if isinstance(decision, admission.Refuse):
-            return _refuse(
+            return resolve.refuse(
+                began,
                 answers.RefusalCode.OVERLOADED,
                 f"expected wait {decision.wait_ms:.0f} ms",
-                query_id,
-                span,
                 decision.retry_after_ms,
             )
         if query.idempotent:
@@ -130,62 +114,32 @@
         return await self._run_once(pinned, order)
 
     def _pin(
-        self,
-        query: queries.Query,
-        query_id: str,
-        span: tracing.Span | None,
-    ) -> _Pinned | answers.Refusal:
-        """Resolve service, priority, deadline and snapshot."""
-        codes = answers.RefusalCode
-        if not self.serving or self.catalog.config is None:
-            text = "this node is not serving"
-            return _refuse(codes.NOT_READY, text, query_id, span, 500.0)
-        service = self.catalog.config.services.get(query.service)
-        if service is None:
-            text = f"unknown service {query.service!r}"
-            return _refuse(codes.UNKNOWN_SERVICE, text, query_id, span)
-        index = self.catalog.index_of(service)
-        if index is None:
-            text = "the service's index is not known yet"
-            return _refuse(codes.NOT_READY, text, query_id, span, 500.0)
-        found = service.priority(query.priority)
-        if found is None:
-            allowed = ", ".join(service.names)
-            text = f"unknown priority {query.priority!r}, allowed: {allowed}"
-            return _refuse(codes.UNKNOWN_PRIORITY, text, query_id, span)
-        if len(query.payload) > service.max_body_bytes:
-            text = f"payload over {service.max_body_bytes} bytes"
-            return _refuse(codes.TOO_LARGE, text, query_id, span)
-        if self.condemned(queries.fingerprint(query)):
-            text = "this request has crashed upstreams"
-            return _refuse(codes.SUSPECT, text, query_id, span)
-        rank, priority = found
-        deadline_ms = query.deadline_ms or priority.deadline_ms
-        deadline_ms = min(deadline_ms, priority.deadline_ms)
-        return _Pinned(
-            query,
-            query_id,
-            service.names[rank],
-            rank,
-            deadline_ms,
-            service,
-            index,
-            self.now_ms(),
-            span,
-        )
+        self, arrived: resolve.Arrived
+    ) -> resolve.Pinned | answers.Refusal:
+        if not self.serving:
+            return resolve.not_ready(arrived, "this node is not serving")
+        pinned = resolve.pin(self.catalog, arrived)
+        fingerprint = queries.fingerprint(arrived.query)
+        if isinstance(pinned, resolve.Pinned) and self.condemned(fingerprint):
+            return resolve.refuse(
+                arrived,
+                answers.RefusalCode.SUSPECT,
+                "this request has crashed upstreams",
+            )
+        return pinned
 
-    async def _run_once(self, pinned: _Pinned, order: int) -> Result:
+    async def _run_once(self, pinned: resolve.Pinned, order: int) -> Result:
         """Claim the request key, run, and record the outcome."""
-        query = pinned.query
+        query = pinned.arrived.query
         key = f"{query.service}/{query.request_key}"
         budget_ms = pinned.deadline_ms - ANSWER_MARGIN_MS
         began_ms = self.now_ms()
-        hop = self._start_hop("front.claim", pinned.span)
+        hop = self._start_hop("front.claim", pinned.arrived.span)
         claim = await self.journal.claim(key, budget_ms)
         claim_ms = self.now_ms() - began_ms
         if hop is not None:
             hop.end(verdict=claim.reply.verdict.name.lower())
-        refusal = _claim_refusal(claim.reply, pinned)
+        refusal = resolve.claim_refusal(claim.reply, pinned.arrived)
         if refusal is not None:
             return refusal
         result = await self._run(pinned, order, claim_ms)
@@ -204,10 +158,10 @@
         return self.tracer.start(name, parent.traceparent)
 
     async def _run(
-        self, pinned: _Pinned, order: int, claim_ms: float
+        self, pinned: resolve.Pinned, order: int, claim_ms: float
     ) -> Result:
         request = self._request(pinned, order, claim_ms)
-        service = pinned.query.service
+        service = pinned.arrived.query.service
 
         def route(set_id: ids.ReplicaSetId) -> list[ids.NodeId]:
             nodes = self.route(f"{service}/{set_id}")
@@ -225,24 +179,26 @@
         return await running.result
 
     def _request(
-        self, pinned: _Pinned, order: int, claim_ms: float
+        self, pinned: resolve.Pinned, order: int, claim_ms: float
     ) -> query_run.Request:
-        query = pinned.query
+        query = pinned.arrived.query
         fingerprint = queries.fingerprint(query)
         canary = (
             pinned.rank >= pinned.service.canary_from_rank
             and query.shard_key is None
             and not self.known_good.contains(fingerprint)
         )
-        traceparent = pinned.span.traceparent if pinned.span else ""
+        traceparent = (
+            pinned.arrived.span.traceparent if pinned.arrived.span else ""
+        )
         return query_run.Request(
-            pinned.query_id,
+            pinned.arrived.query_id,
             tracing.trace_id_of(traceparent),
             query.service,
             pinned.rank,
             order,
-            pinned.started_at_ms,
-            pinned.started_at_ms + pinned.deadline_ms,
+            pinned.arrived.at_ms,
+            pinned.arrived.at_ms + pinned.deadline_ms,
             query.least_coverage,
             query.idempotent,
             fingerprint,
@@ -424,51 +380,3 @@
     if isinstance(result, answers.Answer):
         return "answer"
     return result.code.value
-
-
-def _refuse(
-    code: answers.RefusalCode,
-    message: str,
-    query_id: str,
-    span: tracing.Span | None,
-    retry_after_ms: float | None = None,
-) -> answers.Refusal:
-    """Build a refusal of a request that did not run."""
-    trace_id = tracing.trace_id_of(span.traceparent) if span else ""
-    retry_ms = None if retry_after_ms is None else int(retry_after_ms)
-    return answers.Refusal(
-        code, answers.Ran.NOT_RUN, message, query_id, trace_id, retry_ms
-    )
-
-
-def _claim_refusal(
-    reply: messages.ClaimReply, pinned: _Pinned
-) -> answers.Refusal | None:
-    codes = answers.RefusalCode
-    verdicts = messages.ClaimVerdict
-    match reply.verdict:
-        case verdicts.CLAIMED:
-            return None
-        case verdicts.RAN_BEFORE:
-            ran = answers.Ran.RAN
-            text = f"this request key ran before: {reply.note}"
-            return _duplicate(pinned, ran, text)
-        case verdicts.UNKNOWN_BEFORE:
-            text = "this request key was claimed before; it may have run"
-            return _duplicate(pinned, answers.Ran.UNKNOWN, text)
-        case verdicts.FULL:
-            code = codes.JOURNAL_FULL
-            text = "the journal is full"
-        case _:
-            code = codes.JOURNAL_UNAVAILABLE
-            text = "the claim could not be committed"
-    return _refuse(code, text, pinned.query_id, pinned.span, 1_000.0)
-
-
-def _duplicate(
-    pinned: _Pinned, ran: answers.Ran, text: str
-) -> answers.Refusal:
-    span = pinned.span
-    trace_id = tracing.trace_id_of(span.traceparent) if span else ""
-    code = answers.RefusalCode.DUPLICATE_KEY
-    return answers.Refusal(code, ran, text, pinned.query_id, trace_id)
--- a/packages/lab/src/godwitflow/lab/variant_ours.py
+++ b/packages/lab/src/godwitflow/lab/variant_ours.py
@@ -198,21 +198,7 @@
     def _arrive(self, front: _Front, scatter: messages.Scatter) -> None:
         now_ms = self.clock.now_ms
         for ref in scatter.pieces:
-            job = jobs.Job(
-                front.name,
-                ref.piece,
-                scatter.query_id,
-                scatter.service,
-                ref.shard,
-                scatter.snapshot,
-                scatter.rank,
-                now_ms + scatter.budget_ms,
-                scatter.order,
-                scatter.idempotent,
-                scatter.canary,
-                scatter.fingerprint,
-                scatter.payload,
-            )
+            job = jobs.from_scatter(now_ms, front.name, scatter, ref)
             found = self.sets[ref.replica_set]
             actions = found.offer(now_ms, job)
             self._perform_set(ref.replica_set, found, actions)
@@ -281,31 +267,29 @@
         for job in action.jobs:
             crashes = found.suspects.crashes(job.fingerprint)
             self.clock.after(
-                world_module.HOP_MS, self._learn, job.fingerprint, crashes
+                world_module.HOP_MS,
+                self._learn,
+                found,
+                job.fingerprint,
+                crashes,
             )
 
-    def _learn(self, fingerprint: ids.Fingerprint, crashes: int) -> None:
+    def _learn(
+        self,
+        teller: dispatcher.ReplicaSet,
+        fingerprint: ids.Fingerprint,
+        crashes: int,
+    ) -> None:
         for front in self.fronts:
             front.table.learn(fingerprint, crashes, self.clock.now_ms)
         for set_id, found in self.sets.items():
-            found.suspects.learn(fingerprint, crashes, self.clock.now_ms)
+            if found is not teller:
+                found.suspects.learn(fingerprint, crashes, self.clock.now_ms)
             actions = found.on_suspicion(fingerprint)
             self._perform_set(set_id, found, actions)
 
     def _reply(self, action: jobs.Reply) -> None:
-        job = action.job
-        piece = messages.Piece(
-            job.piece,
-            job.shard,
-            job.snapshot,
-            action.status,
-            action.ran,
-            action.rows,
-            action.queue_ms,
-            action.upstream_ms,
-            job.call_count,
-            action.retry_after_ms,
-        )
+        piece = jobs.to_piece(action)
         self.clock.after(world_module.HOP_MS, self._on_piece, piece)
 
     def _arm(self, set_id: str, found: dispatcher.ReplicaSet) -> None:
--- a/packages/policy/src/godwitflow/policy/dispatcher.py
+++ b/packages/policy/src/godwitflow/policy/dispatcher.py
@@ -221,7 +221,8 @@
         if not self.suspects.quiet:
             if self.suspects.condemned(job.fingerprint):
                 self._finish(job)
-                return [self._refuse(job, messages.PieceStatus.SUSPECT)]
+                status = messages.PieceStatus.SUSPECT
+                return [self._refuse(job, status, _ran(job))]
             if not self._may_run(job):
                 self._held.append(job)
                 return []
@@ -554,9 +555,9 @@
 
     def _retry(self, job: jobs.Job, ran: bool) -> list[jobs.Action]:
         """Try another replica where that is safe and budgeted."""
+        job.may_have_run = job.may_have_run or ran
         if job.calls:
             return []
-        job.may_have_run = job.may_have_run or ran
         condemned = self.suspects.condemned(job.fingerprint)
         if not condemned and self._may_retry(job):
             self.counts["retries"] += 1
--- a/packages/policy/src/godwitflow/policy/jobs.py
+++ b/packages/policy/src/godwitflow/policy/jobs.py
@@ -162,3 +162,45 @@
 
 
 Action = StartCall | CancelCall | AbortCall | Reply
+
+
+def from_scatter(
+    now_ms: float,
+    client: ids.NodeId,
+    scatter: messages.Scatter,
+    ref: messages.Ref,
+) -> Job:
+    """Build the job of one piece; its time left starts to run now."""
+    return Job(
+        client,
+        ref.piece,
+        scatter.query_id,
+        scatter.service,
+        ref.shard,
+        scatter.snapshot,
+        scatter.rank,
+        now_ms + scatter.budget_ms,
+        scatter.order,
+        scatter.idempotent,
+        scatter.canary,
+        scatter.fingerprint,
+        scatter.payload,
+        scatter.traceparent,
+    )
+
+
+def to_piece(reply: Reply) -> messages.Piece:
+    """Build the message that tells a front what became of a job."""
+    job = reply.job
+    return messages.Piece(
+        job.piece,
+        job.shard,
+        job.snapshot,
+        reply.status,
+        reply.ran,
+        reply.rows,
+        reply.queue_ms,
+        reply.upstream_ms,
+        job.call_count,
+        reply.retry_after_ms,
+    )
--- a/packages/policy/src/godwitflow/policy/query_run.py
+++ b/packages/policy/src/godwitflow/policy/query_run.py
@@ -96,7 +96,7 @@
         self.piece_ids = piece_ids
         self.done = False
         self.calls = 0
-        self.verdicts: list[gather.Verdict] = []
+        self._ran: set[answers.Ran] = set()
         self._restarts = 0
         self._newer: index_model.Index | None = None
         self._wants_newer = False
@@ -117,7 +117,6 @@
         self._owners_tried: dict[ids.PieceId, set[ids.NodeId]] = {}
         self._slowest = _Slowest()
         self._held: list[ids.PieceId] = []
-        self._ran: set[answers.Ran] = set()
         self._statuses: set[messages.PieceStatus] = set()
         self._retry_after_ms = 0.0
         self._canary: ids.PieceId | None = None
@@ -230,6 +229,8 @@
         if newer is None or newer.snapshot <= self.index.snapshot:
             self._wants_newer = True
             return []
+        if self.open_pieces():
+            self._ran.add(answers.Ran.UNKNOWN)
         self._restarts += 1
         self._wants_newer = False
         actions = self._cancel_open()
@@ -254,8 +255,8 @@
         ]
         if not lost:
             return []
+        self._ran.add(answers.Ran.UNKNOWN)
         if not self.request.idempotent:
-            self._ran.add(answers.Ran.UNKNOWN)
             return self._finish(now_ms)
         return self._send(now_ms, lost)
 
--- a/packages/policy/src/godwitflow/policy/suspects.py
+++ b/packages/policy/src/godwitflow/policy/suspects.py
@@ -13,7 +13,8 @@
 class Record:
     """Crashes under one fingerprint, by shard, and trials running now.
 
-    ``heard`` is the highest count that a peer has told.
+    ``heard`` is the highest count that a peer has told; where the peer
+    counted this node's crashes too, the sum errs on the safe side.
     """
 
     by_shard: dict[ids.ShardId, int] = dataclasses.field(default_factory=dict)
@@ -24,7 +25,7 @@
     @property
     def crashes(self) -> int:
         """The upstreams lost, as far as this node knows."""
-        return max(self.heard, sum(self.by_shard.values()))
+        return self.heard + sum(self.by_shard.values())
 
 
 class Suspects:
@@ -102,7 +103,7 @@
     ) -> bool:
         """Take a peer's count; True where it was news."""
         record = self._records.setdefault(fingerprint, Record())
-        if crashes <= record.crashes:
+        if crashes <= record.heard:
             return False
         record.heard = crashes
         record.seen_at_ms = now_ms
--- a/packages/policy/tests/test_dispatcher.py
+++ b/packages/policy/tests/test_dispatcher.py
@@ -159,6 +159,31 @@
             [STATUSES.SUSPECT] * 4, [item.status for item in replies]
         )
 
+    def test_a_hedge_that_is_shed_does_not_unsay_the_first_call(self):
+        """A fault once: the piece was reported as not run."""
+        self.set = builders.replica_set(("a", "b"))
+        self.warm()
+        call = self.start(1, deadline_at_ms=1e9)
+        (hedge,) = builders.starts(self.set.step(30.0))
+        self.set.on_result(40.0, call.call, jobs.CallTimedOut())
+        shed = jobs.CallDone((jobs.ItemShed("f1/1"),))
+        actions = self.set.on_result(41.0, hedge.call, shed)
+        (reply,) = builders.replies(actions)
+        self.assertIs(answers.Ran.UNKNOWN, reply.ran)
+
+    def test_suspect_that_ran_is_not_said_not_to_have_run(self):
+        """A fault once: a request condemned while queued said so."""
+        self.set = builders.replica_set(("a", "b"), slots=1)
+        self.warm()
+        call, other = self.start(1, fingerprint=9), self.start(2)
+        actions = self.set.on_result(1.0, call.call, jobs.CallCrashed())
+        self.assertEqual([], actions)
+        self.set.suspects.learn(9, 2, 1.0)
+        actions = self.set.on_result(2.0, other.call, builders.ok(other))
+        reply = builders.replies(actions)[-1]
+        self.assertIs(STATUSES.SUSPECT, reply.status)
+        self.assertIs(answers.Ran.UNKNOWN, reply.ran)
+
     def test_bystander_of_a_crash_is_cleared_by_success(self):
         self.warm()
         call = self.start(1)
@@ -257,6 +282,13 @@
         self.assertFalse(table.learn(1, 2, 0.0))
         self.assertTrue(table.condemned(1))
 
+    def test_crashes_here_and_elsewhere_add_up(self):
+        """A fault once: the higher of both counts was taken."""
+        table = suspects.Suspects()
+        table.learn(1, 1, 0.0)
+        table.on_crash(1, "s0", 0.0)
+        self.assertTrue(table.condemned(1))
+
     def test_crashes_on_two_shards_add_up(self):
         table = suspects.Suspects()
         table.on_crash(1, "s0", 0.0)
--- a/packages/policy/tests/test_query_run.py
+++ b/packages/policy/tests/test_query_run.py
@@ -189,6 +189,32 @@
         rows = json.loads(bytes(result.rows))
         self.assertEqual({"4"}, {row.split("@")[1] for row in rows})
 
+    def test_what_ran_before_a_restart_is_not_forgotten(self):
+        """A fault once: the refusal after a restart said not run."""
+        for lose in (
+            lambda run: run.on_piece(1.0, reply(run_refs[0])),
+            lambda run: run.on_node_lost(1.0, "n1"),
+        ):
+            run = new_run()
+            run_refs = refs_of(run.start(0.0))
+            lose(run)
+            gone = reply(
+                run_refs[1],
+                status=messages.PieceStatus.WRONG_SNAPSHOT,
+                ran=answers.Ran.NOT_RUN,
+            )
+            run.on_piece(2.0, gone)
+            result = None
+            for ref in refs_of(run.on_index(3.0, NEWER)):
+                shed = reply(
+                    ref,
+                    snapshot=4,
+                    status=messages.PieceStatus.SHED,
+                    ran=answers.Ran.NOT_RUN,
+                )
+                result = finish(run.on_piece(4.0, shed)[1]) or result
+            self.assertIsNot(answers.Ran.NOT_RUN, result.ran)
+
     def test_dispatcher_without_the_index_is_passed_over(self):
         run = new_run()
         refs = refs_of(run.start(0.0))
