Let canaries go first; keep hedges for the most urgent; test more parts

Ruled out: credit, which was full.

Change: within a rank canaries are started first; the last four tokens of the hedge budget are the most urgent rank's.

--- /dev/null
+++ b/packages/daemon/tests/test_small.py
@@ -0,0 +1,90 @@
+"""Tests of the daemon's smaller parts."""
+
+import io
+import json
+import unittest
+
+import logbook
+
+from godwitflow.daemon import lifecycle
+from godwitflow.daemon import logs
+from godwitflow.daemon import metrics
+from godwitflow.daemon import tracing
+
+
+class LifecycleTest(unittest.TestCase):
+    def test_from_start_to_stop(self):
+        life = lifecycle.new()
+        seen = [(life.name(), life.may_serve())]
+        for step in ("catch_up", "leave", "catch_up", "drain", "stop"):
+            getattr(life, step)()
+            seen.append((life.name(), life.may_serve()))
+        self.assertEqual(
+            [
+                ("starting", False),
+                ("serving", True),
+                ("leaving", True),
+                ("leaving", True),
+                ("draining", False),
+                ("stopped", False),
+            ],
+            seen,
+        )
+
+    def test_pause_takes_it_back_to_starting(self):
+        life = lifecycle.new()
+        life.catch_up()
+        life.fall_behind()
+        self.assertFalse(life.may_serve())
+
+
+class LogsTest(unittest.TestCase):
+    def test_a_line_of_json_with_fields(self):
+        stream = io.StringIO()
+        with logs.handler(stream, "info").applicationbound():
+            logs.logger("front").info("answered", trace_id="ab", rows=3)
+            logs.logger("front").debug("not this")
+        row = json.loads(stream.getvalue())
+        self.assertEqual(
+            ("front", "info", "answered", "ab", 3),
+            tuple(
+                row[name]
+                for name in ("logger", "level", "event", "trace_id", "rows")
+            ),
+        )
+        self.assertEqual(logbook.INFO, logbook.lookup_level("INFO"))
+
+
+class MetricsTest(unittest.TestCase):
+    def test_lines(self):
+        kept = metrics.Metrics()
+        kept.count("refusals", reason='a"b')
+        kept.count("refusals", 2, reason='a"b')
+        for value_ms in range(1, 101):
+            kept.record("s", "steward", "total", float(value_ms))
+        text = "\n".join(kept.lines())
+        self.assertIn('godwitflow_refusals_total{reason="a\\"b"} 3', text)
+        self.assertIn('hop="total",quantile="0.5"} 50', text)
+        self.assertIn("latency_ms_count", text)
+
+
+class TracingTest(unittest.TestCase):
+    def test_callers_trace_is_followed(self):
+        spans = []
+
+        class Keep(tracing.export.SpanExporter):
+            def export(self, batch):
+                spans.extend(batch)
+
+        processor = tracing.export.SimpleSpanProcessor(Keep())
+        tracer = tracing.Tracing("vm1", 0.0, (processor,))
+        parent = "00-" + "ab" * 16 + "-" + "cd" * 8 + "-01"
+        span = tracer.start_query("front.query", parent)
+        child = tracer.start("dispatcher.piece", span.traceparent)
+        child.end(status="ok")
+        span.end(result="answer")
+        self.assertIsNone(tracer.start_query("front.query", ""))
+        self.assertEqual("ab" * 16, tracing.trace_id_of(span.traceparent))
+        traces = {item.context.trace_id for item in spans}
+        self.assertEqual({int("ab" * 16, 16)}, traces)
+        self.assertEqual(spans[1].context.span_id, spans[0].parent.span_id)
--- a/packages/policy/src/godwitflow/policy/budget.py
+++ b/packages/policy/src/godwitflow/policy/budget.py
@@ -28,9 +28,9 @@
         """Refill for primary requests."""
         self.tokens = min(self.burst, self.tokens + self.share * count)
 
-    def take(self) -> bool:
-        """Take a token for one extra request, if there is one."""
-        if self.tokens < 1.0:
+    def take(self, reserve: float = 0.0) -> bool:
+        """Take a token for one extra request, leaving a reserve."""
+        if self.tokens < 1.0 + reserve:
             return False
         self.tokens -= 1.0
         return True
--- a/packages/policy/src/godwitflow/policy/dispatcher.py
+++ b/packages/policy/src/godwitflow/policy/dispatcher.py
@@ -386,7 +386,8 @@
         if upstream is None:
             self.counts["hedges_no_replica"] += 1
             return []
-        if not self.hedging.budget.take():
+        reserve = 0.0 if first.rank == 0 else hedging.URGENT_RESERVE
+        if not self.hedging.budget.take(reserve):
             self.counts["hedges_no_budget"] += 1
             return []
         return [self._start(now_ms, upstream, open_jobs, hedge=True)]
--- a/packages/policy/src/godwitflow/policy/hedging.py
+++ b/packages/policy/src/godwitflow/policy/hedging.py
@@ -8,6 +8,7 @@
 from godwitflow.settings import config
 
 BURST = 10.0
+URGENT_RESERVE = 4.0
 FULL_ROOM_AT = 0.5
 NO_ROOM_AT = 0.9
 
@@ -18,7 +19,8 @@
     A call is late once it takes longer than the set's recent quantile,
     which is ``delay_ms``; None until enough calls have been seen.
     The budget is a share of primary work; ``room`` shrinks it to nothing
-    as slots fill, because a hedge then takes a slot from queued work.
+    as slots fill, because a hedge then takes a slot from queued work. Its
+    last tokens are for the most urgent rank.
     """
 
     def __init__(self, settings: config.Hedge) -> None:
--- a/packages/policy/src/godwitflow/policy/scheduler.py
+++ b/packages/policy/src/godwitflow/policy/scheduler.py
@@ -1,7 +1,8 @@
 """The order in which a dispatcher starts queued work.
 
-The most urgent rank goes first; within a rank the earliest deadline
-does, and equal deadlines go by a hash of the query. All dispatchers use
+The most urgent rank goes first; within a rank canaries do, as the rest
+of their queries waits for them, then the earliest deadline, and equal
+deadlines go by a hash of the query. All dispatchers use
 this one key, so under pressure the same queries lose everywhere. Floors
 keep a share of starts for each less urgent rank that has work waiting.
 """
@@ -22,11 +23,13 @@
     rank: ids.Rank
     deadline_at_ms: float
     order: int
+    canary: bool
     done: bool
     queued: bool
 
 
 Item = typing.TypeVar("Item", bound=Entry)
+_Queued = tuple[float, int, int, typing.Any]
 
 
 class Scheduler(typing.Generic[Item]):
@@ -43,9 +46,8 @@
         self.credits = [0.0] * len(floors)
         self.counts = [0] * len(floors)
         self.waiting = 0
-        self._heaps: list[list[tuple[float, int, int, Item]]] = [
-            [] for _ in floors
-        ]
+        self._canaries: list[list[_Queued]] = [[] for _ in floors]
+        self._others: list[list[_Queued]] = [[] for _ in floors]
         self._serial = itertools.count()
 
     def __len__(self) -> int:
@@ -54,8 +56,9 @@
     def push(self, item: Item) -> None:
         """Queue an item; a rank beyond the last counts as the last."""
         rank = min(item.rank, len(self.floors) - 1)
+        heaps = self._canaries if item.canary else self._others
         entry = (item.deadline_at_ms, item.order, next(self._serial), item)
-        heapq.heappush(self._heaps[rank], entry)
+        heapq.heappush(heaps[rank], entry)
         item.queued = True
         self.counts[rank] += 1
         self.waiting += 1
@@ -70,10 +73,8 @@
 
     def peek(self, rank: int) -> Item | None:
         """Return a rank's first item without taking it."""
-        heap = self._heaps[rank]
-        while heap and heap[0][3].done:
-            heapq.heappop(heap)
-        return heap[0][3] if heap else None
+        first = _first(self._canaries[rank])
+        return first or _first(self._others[rank])
 
     def pop(self, allowed: int) -> Item | None:
         """Take the next item among ranks up to ``allowed``.
@@ -111,9 +112,15 @@
             self.credits[rank] = min(CREDIT_CAP, raised)
 
     def _take(self, rank: int) -> Item:
-        item = self.peek(rank)
+        heap = self._canaries[rank]
+        if _first(heap) is None:
+            heap = self._others[rank]
+        return self._take_from(heap, rank)
+
+    def _take_from(self, heap: "list[_Queued]", rank: int) -> Item:
+        item = _first(heap)
         assert item is not None
-        heapq.heappop(self._heaps[rank])
+        heapq.heappop(heap)
         item.queued = False
         self.counts[rank] -= 1
         self.waiting -= 1
@@ -130,10 +137,18 @@
     def drop_expired(self, now_ms: float) -> list[Item]:
         """Take out every item whose deadline has passed."""
         dropped = []
-        for rank in range(len(self.floors)):
-            while True:
-                item = self.peek(rank)
-                if item is None or item.deadline_at_ms > now_ms:
-                    break
-                dropped.append(self._take(rank))
+        for heaps in (self._canaries, self._others):
+            for rank, heap in enumerate(heaps):
+                while True:
+                    item = _first(heap)
+                    if item is None or item.deadline_at_ms > now_ms:
+                        break
+                    dropped.append(self._take_from(heap, rank))
         return dropped
+
+
+def _first(heap: "list[_Queued]") -> typing.Any:
+    """Return a heap's first item that is not cancelled, or None."""
+    while heap and heap[0][3].done:
+        heapq.heappop(heap)
+    return heap[0][3] if heap else None
--- a/packages/policy/tests/test_scheduler.py
+++ b/packages/policy/tests/test_scheduler.py
@@ -19,7 +19,7 @@
     rank: int
     deadline_at_ms: float
     order: int
-    serial: int = 0
+    canary: bool = False
     done: bool = False
     queued: bool = False
 
@@ -59,7 +59,12 @@
             self.credits[other] = min(scheduler.CREDIT_CAP, raised)
         mine = [row for row in self.items if row[0].rank == rank]
         mine.sort(
-            key=lambda row: (row[0].deadline_at_ms, row[0].order, row[1])
+            key=lambda row: (
+                not row[0].canary,
+                row[0].deadline_at_ms,
+                row[0].order,
+                row[1],
+            )
         )
         self.items.remove(mine[0])
         return mine[0][0]
@@ -70,6 +75,7 @@
     strategies.integers(0, 2),
     strategies.integers(0, 5),
     strategies.integers(0, 3),
+    strategies.booleans(),
 )
 POP = strategies.tuples(strategies.just("pop"), strategies.integers(0, 2))
 DISCARD = strategies.tuples(
@@ -83,8 +89,8 @@
     pushed = []
     for step in steps:
         match step:
-            case ("push", rank, deadline, order):
-                item = Item(rank, float(deadline), order)
+            case ("push", rank, deadline, order, canary):
+                item = Item(rank, float(deadline), order, canary)
                 pushed.append(item)
                 real.push(item)
                 naive.push(item)
