--- a/packages/platform/src/godwitflow/platform/changes.py
+++ b/packages/platform/src/godwitflow/platform/changes.py
@@ -137,7 +137,8 @@
     head, version = await read_head(store)
     refs = accepted.refs(files)
     if seen is not None and head.generation != seen:
-        raise ApplyConflictError(head.generation, ())
+        theirs = compare(head.files, refs).touched
+        raise ApplyConflictError(head.generation, tuple(sorted(theirs)))
     if not compare(head.files, refs).touched:
         return Applied(head.generation, head.change_id, unchanged=True)
     await _put_contents(store, files)
--- a/packages/platform/src/godwitflow/platform/http.py
+++ b/packages/platform/src/godwitflow/platform/http.py
@@ -70,11 +70,17 @@
         try:
             return await sending
         except _NOT_SENT as error:
-            raise errors.StoreUnavailableError(repr(error)) from error
+            raise errors.StoreUnavailableError(
+                f"the store cannot be reached, nothing was applied: {error!r}"
+            ) from error
         except Exception as error:
             if method == "PUT":
-                raise errors.StoreOutcomeUnknownError(repr(error)) from error
-            raise errors.StoreUnavailableError(repr(error)) from error
+                raise errors.StoreOutcomeUnknownError(
+                    f"the store's answer was lost: {error!r}"
+                ) from error
+            raise errors.StoreUnavailableError(
+                f"the store cannot be reached, nothing was applied: {error!r}"
+            ) from error
         finally:
             self._pending.discard(sending)
 
