Hold slots back only while less urgent work floods in

A fifth of the slots, two of six, was held back whenever the smoothed share of busy slots passed 75%, which at a load of 60% it often does for a moment.

Change: slots are held back while more than two rounds of less urgent work wait, which is what a flood looks like.

--- a/packages/policy/src/godwitflow/policy/dispatcher.py
+++ b/packages/policy/src/godwitflow/policy/dispatcher.py
@@ -30,7 +30,7 @@
 MAX_ASIDE = 8
 URGENT_RECENT_MS = 1_000.0
 RESERVE_SHARE = 0.2
-RESERVE_FROM_BUSY = 0.75
+RESERVE_FROM_ROUNDS = 2
 MAX_TRIES = 3
 EXPIRY_CHECK_MS = 10.0
 MIN_WAKEUP_MS = 0.5
@@ -294,11 +294,13 @@
     def _allowed_rank(self, now_ms: float, survey: replicas.Survey) -> int:
         """Return the least urgent rank that may take one of the slots.
 
-        A share of the slots stays free for more urgent ranks that have
-        had work lately, since a running call cannot be preempted.
+        While less urgent work floods in, a share of the slots stays free
+        for more urgent ranks that have had work lately, since a running
+        call cannot be preempted.
         """
         last = len(self._arrived_at_ms) - 1
-        if self.load.busy_share < RESERVE_FROM_BUSY:
+        less_urgent = self.queue.waiting - self.queue.counts[0]
+        if less_urgent <= RESERVE_FROM_ROUNDS * survey.limit:
             return last
         reserve = math.ceil(survey.limit * RESERVE_SHARE)
         if survey.free > reserve or survey.limit <= 2 * reserve:
