Hedge every late urgent call that the budget allows

For half a second after the slow replicas change half of the queries meet one; each late call drew once whether the load leaves room, and a quarter were denied for good. Ruled out: the budget, which had tokens.

Change: the most urgent rank does not draw; it is denied only where there is no room at all.

--- a/packages/policy/src/godwitflow/policy/dispatcher.py
+++ b/packages/policy/src/godwitflow/policy/dispatcher.py
@@ -380,7 +380,8 @@
         if first.canary or self.suspects.suspected(first.fingerprint):
             return []
         room = self.hedging.room(self.load.busy_share)
-        if self.replicas.random.random() >= room:
+        drawn = 0.0 if first.rank == 0 else self.replicas.random.random()
+        if drawn >= room:
             self.counts["hedges_no_room"] += 1
             return []
         ready = self.replicas.survey(now_ms).ready
