--- a/packages/policy/tests/test_dispatcher.py
+++ b/packages/policy/tests/test_dispatcher.py
@@ -86,6 +86,37 @@
         self.start(2, idempotent=False, deadline_at_ms=1e9)
         self.assertEqual([], builders.starts(self.set.step(500.0)))
 
+    def test_load_denies_a_hedge_to_the_most_urgent_last(self):
+        """A fault once: one draw decided for urgent calls as well."""
+        hedged = {0: 0, 1: 0}
+        for rank in hedged:
+            self.set = builders.replica_set()
+            self.warm()
+            self.set.hedging.budget.tokens = 10.0
+            for piece in range(5):
+                self.set.load.busy_share = 0.89
+                call = self.start(piece, rank=rank, deadline_at_ms=1e9)
+                for hedge in builders.starts(self.set.step(30.0)):
+                    hedged[rank] += 1
+                    self.set.on_result(31.0, hedge.call, builders.ok(hedge))
+                self.set.on_result(32.0, call.call, builders.ok(call))
+        self.assertEqual(5, hedged[0])
+        self.assertLess(hedged[1], 5)
+
+    def test_slots_are_held_back_only_in_a_flood(self):
+        """A fault once: a short queue already held slots back."""
+        self.offer(99, rank=0)
+        few = [self.offer(piece, rank=2) for piece in range(8)]
+        self.assertEqual(5, sum(len(builders.starts(x)) for x in few))
+        self.set = builders.replica_set()
+        self.start(99, rank=0)
+        for piece in range(40):
+            self.offer(piece, rank=2)
+        for call in list(self.set.calls.values()):
+            batch = jobs.StartCall(call.id, "", tuple(call.jobs))
+            self.set.on_result(5.0, call.id, builders.ok(batch))
+        self.assertEqual(4, len(self.set.calls))
+
     def test_booking_is_never_run_twice(self):
         for result in (
             jobs.CallCrashed(),
