Mend what a last reading of the whole change found

Cause: read against the promises, four things were wrong. A node that resumed from a pause was trusted with its old state within the same tick, as readiness looked only at whether objects are held. The head was polled once and never again, so a node relied on its watchers and peers alone. One service's small connection cap bounded the calls to all services, and more slots than half the cap made our own cap look like an upstream's failure and open its breaker. Three tables grew without bound or were never read.

Change: after a pause a peer with the same digest or the store's head must confirm, for 5 s at most; the poll is made each time; caps are a service's own and slots over half of them are refused by check; the tables are bounded, code that nothing called is gone.

Conclusion: what stands twice otherwise is the shape of two event loops (daemon and model), which differ in what they call.

--- a/packages/daemon/src/godwitflow/daemon/control.py
+++ b/packages/daemon/src/godwitflow/daemon/control.py
@@ -30,6 +30,7 @@
 MIN_STORE_CALLS_PER_S = 0.05
 STORE_BURST = 40.0
 SMALL_FLEET = 9.0
+DOUBT_LIMIT_MS = 5_000.0
 MAX_PUSH_OBJECTS = 50
 
 Send = typing.Callable[[ids.NodeId, messages.Message], None]
@@ -67,6 +68,7 @@
         self.on_member_lost: typing.Callable[[ids.NodeId], None]
         self.stopping = False
         self.store_failures = 0
+        self._doubt_since_ms: float | None = None
         self._watching: set[str] = set()
         self._assigned: tuple[str, ...] = ()
         self._fetching: set[str] = set()
@@ -140,6 +142,25 @@
             self.node, members, self.catalog.watched_names()
         )
 
+    def doubt(self) -> None:
+        """Trust what is held no more, as after a pause, until confirmed.
+
+        A peer that holds the same, or the store's head, confirms it.
+        """
+        self._doubt_since_ms = self.now_ms()
+        self._next_poll_ms = 0.0
+
+    @property
+    def trusted(self) -> bool:
+        """Whether what is held may be served.
+
+        With neither peers nor store for ``DOUBT_LIMIT_MS`` the last good
+        state is served, as in any outage.
+        """
+        if self._doubt_since_ms is None:
+            return True
+        return self.now_ms() - self._doubt_since_ms >= DOUBT_LIMIT_MS
+
     def follow_keys(self) -> None:
         """Bound the owners' load over the replica sets now known."""
         keys = [
@@ -155,9 +176,8 @@
         The wait grows with the fleet, so the fleet's rate does not.
         """
         wait_ms = POLL_PERIOD_MS * self._spread()
-        first = self._next_poll_ms == 0.0
         self._next_poll_ms = now_ms + wait_ms
-        if first and self.calls.take(now_ms):
+        if self.calls.take(now_ms):
             defer.ensureDeferred(self._fetch(accepted.HEAD_NAME))
 
     def _spread(self) -> float:
@@ -219,6 +239,8 @@
         if self.catalog.differs(digests):
             names = self.catalog.digests()
             self.post(inner, messages.ProbeAck(0, (), names))
+        elif self.catalog.summary() in digests:
+            self._doubt_since_ms = None
 
     def on_pull(self, inner: str, pull: messages.Pull) -> None:
         """Send objects that a peer asked for, with the head's files."""
@@ -300,6 +322,8 @@
         try:
             stored = await self.store.get(name)
             self._offer(name, stored.version, stored.value)
+            if name == accepted.HEAD_NAME:
+                self._doubt_since_ms = None
         except errors.ObjectMissingError:
             pass
         except errors.StoreError:
--- a/packages/daemon/src/godwitflow/daemon/dispatch.py
+++ b/packages/daemon/src/godwitflow/daemon/dispatch.py
@@ -16,6 +16,7 @@
 from godwitflow.policy import catalog
 from godwitflow.policy import dispatcher
 from godwitflow.policy import jobs
+from godwitflow.policy import ownership
 from godwitflow.policy import suspects
 from godwitflow.settings import config
 from godwitflow.upstream import client
@@ -140,7 +141,7 @@
         members = index.replica_sets.get(key[1])
         if members is None:
             return None
-        seed = hash(key[1]) & 0xFFFF
+        seed = ownership.hash64(key[1]) & 0xFFFF
         found = dispatcher.ReplicaSet(
             key[1], service, members, self.suspects, seed
         )
--- a/packages/daemon/src/godwitflow/daemon/journals.py
+++ b/packages/daemon/src/godwitflow/daemon/journals.py
@@ -21,6 +21,8 @@
 Send = typing.Callable[[ids.NodeId, messages.Message], None]
 Route = typing.Callable[[str], list[ids.NodeId]]
 
+MAX_ABANDONED = 10_000
+
 _log = logs.logger("journal")
 
 
@@ -102,6 +104,8 @@
             claim.reply = await waiting.result
         except defer.TimeoutError:
             self._abandoned[serial] = claim
+            if len(self._abandoned) > MAX_ABANDONED:
+                del self._abandoned[next(iter(self._abandoned))]
         finally:
             del self._waiting[serial]
         verdict = claim.reply.verdict.name.lower()
--- a/packages/daemon/src/godwitflow/daemon/node.py
+++ b/packages/daemon/src/godwitflow/daemon/node.py
@@ -232,10 +232,11 @@
         if self.table.pauses > self._pauses_seen:
             self._pauses_seen = self.table.pauses
             self.life.fall_behind()
+            self.control.doubt()
             _log.warn("resumed after a pause", node=self.id)
 
     def _follow_readiness(self) -> None:
-        if self.catalog.ready:
+        if self.catalog.ready and self.control.trusted:
             self.life.catch_up()
         serving = self.life.may_serve()
         self.front.serving = serving
@@ -347,9 +348,10 @@
         if held is None:
             return
         # Two nodes may own one upstream for a moment: half the cap each.
-        caps = [item.connection_cap // 2 for item in held.services.values()]
-        if caps:
-            self.upstream.cap = max(1, min(caps))
+        self.upstream.caps = {
+            ids.ServiceName(name): service.connection_cap // 2
+            for name, service in held.services.items()
+        }
 
     def _on_member_lost(self, node: ids.NodeId) -> None:
         _log.info("a member is gone", member=node)
--- /dev/null
+++ b/packages/daemon/tests/test_control.py
@@ -0,0 +1,78 @@
+"""Tests of the control task on a virtual clock."""
+
+from twisted.internet import task
+from twisted.trial import unittest
+
+from godwitflow.daemon import control
+from godwitflow.daemon import metrics
+from godwitflow.model import errors
+from godwitflow.platform import memory
+from godwitflow.policy import catalog
+from godwitflow.policy import membership
+from godwitflow.settings import accepted
+from godwitflow.wire import messages
+
+
+class CountingStore(memory.MemoryStore):
+    """A store that counts reads of the head and can be down."""
+
+    heads = 0
+    down = True
+
+    async def get(self, name):
+        self.heads += name == accepted.HEAD_NAME
+        if self.down:
+            raise errors.StoreUnavailableError(name)
+        return await super().get(name)
+
+    async def watch(self, name, after, wait_ms):
+        raise errors.StoreUnavailableError(name)
+
+
+class ControlTest(unittest.SynchronousTestCase):
+    def setUp(self):
+        self.clock = task.Clock()
+        self.store = CountingStore(self.clock)
+        me = messages.MemberUpdate(
+            "vm1", "d", "tcp://1", "", "", 1, messages.MemberState.ALIVE
+        )
+        self.control = control.Control(
+            self.clock,
+            lambda: self.clock.seconds() * 1e3,
+            self.store,
+            membership.Membership(me, 1),
+            catalog.Catalog(),
+            lambda inner, message: None,
+            metrics.Metrics(),
+            (),
+            1,
+        )
+        self.control.on_catalog = lambda name: None
+        self.control.on_member_lost = lambda node: None
+
+    def run_for(self, seconds):
+        for _ in range(int(seconds / 0.05)):
+            self.clock.advance(0.05)
+            self.control.tick()
+
+    def test_head_is_polled_again_where_watches_fail(self):
+        """A fault once: only the first poll was ever made."""
+        self.run_for(200.0)
+        self.assertGreaterEqual(self.store.heads, 4)
+
+    def test_state_from_before_a_pause_waits_for_a_peer(self):
+        """A fault once: it was trusted again within the same tick."""
+        self.control.doubt()
+        self.run_for(0.5)
+        self.assertFalse(self.control.trusted)
+        other = messages.Digest(catalog.SUMMARY_NAME, 5)
+        self.control.on_digests("tcp://2", (other,))
+        self.assertFalse(self.control.trusted)
+        same = self.control.catalog.summary()
+        self.control.on_digests("tcp://2", (same,))
+        self.assertTrue(self.control.trusted)
+
+    def test_with_neither_peer_nor_store_the_last_state_is_served(self):
+        self.control.doubt()
+        self.run_for(5.1)
+        self.assertTrue(self.control.trusted)
--- a/packages/policy/src/godwitflow/policy/admission.py
+++ b/packages/policy/src/godwitflow/policy/admission.py
@@ -6,7 +6,6 @@
 """
 
 import dataclasses
-import typing
 
 from godwitflow.model import ids
 from godwitflow.wire import messages
@@ -70,12 +69,6 @@
         self._sets[load.replica_set] = _Reported(load, now_ms)
         self._expected.clear()
 
-    def forget(self, keep: typing.Container[ids.ReplicaSetId]) -> None:
-        """Forget replica sets that the index no longer names."""
-        for set_id in [name for name in self._sets if name not in keep]:
-            del self._sets[set_id]
-        self._expected.clear()
-
     def expected_wait_ms(self, now_ms: float, rank: ids.Rank) -> float:
         """Return the longest queue wait that a new query would meet."""
         kept = self._expected.get(rank)
--- a/packages/policy/src/godwitflow/policy/catalog.py
+++ b/packages/policy/src/godwitflow/policy/catalog.py
@@ -17,6 +17,7 @@
 from godwitflow.wire import messages
 
 SUMMARY_NAME = "*"
+KEPT_GENERATIONS = 100
 INDEX_PREFIX = "index/"
 
 
@@ -111,6 +112,7 @@
         self.config = parsed
         self.objects[accepted.HEAD_NAME] = held
         self.generations.append(head.generation)
+        del self.generations[:-KEPT_GENERATIONS]
         self._drop_old_files(head)
 
     def _contents(self, head: accepted.Head) -> dict[str, bytes]:
--- a/packages/policy/src/godwitflow/policy/dispatcher.py
+++ b/packages/policy/src/godwitflow/policy/dispatcher.py
@@ -509,7 +509,6 @@
     def _wrong_snapshot(self, job: jobs.Job) -> list[jobs.Action]:
         """Try another replica; with none left, the snapshot is gone."""
         self.counts["wrong_snapshot"] += 1
-        job.wrong_snapshots += 1
         if job.calls:
             return []
         safe = job.idempotent or not job.may_have_run
--- a/packages/policy/src/godwitflow/policy/jobs.py
+++ b/packages/policy/src/godwitflow/policy/jobs.py
@@ -36,7 +36,6 @@
     calls: set[int] = dataclasses.field(default_factory=set)
     call_count: int = 0
     trials: int = 0
-    wrong_snapshots: int = 0
     may_have_run: bool = False
     alone: bool = False
     done: bool = False
--- a/packages/settings/src/godwitflow/settings/config.py
+++ b/packages/settings/src/godwitflow/settings/config.py
@@ -264,6 +264,9 @@
         if priority.deadline_ms < priority.target_ms:
             found = f"{name}: deadline_ms below target_ms"
             report("priorities", found, "deadline_ms >= target_ms")
+    if service.slots > service.connection_cap // 2:
+        allowed = "at most half of connection_cap, which a node may use"
+        report("slots", f"{service.slots}", allowed)
     default = service.default_priority
     if default and default not in service.priorities:
         allowed = "one of " + ", ".join(service.names)
--- a/packages/settings/tests/test_config.py
+++ b/packages/settings/tests/test_config.py
@@ -81,6 +81,7 @@
     def test_cross_checks(self):
         cases = {
             b"default_priority: duke": "default_priority",
+            b"slots: 13": "slots",
             b"priorities: {clerk: {rank: 0}}": "priorities",
             b"priorities: {clerk: {floor_share: 0.95}}": "priorities",
         }
--- a/packages/upstream/src/godwitflow/upstream/http.py
+++ b/packages/upstream/src/godwitflow/upstream/http.py
@@ -25,6 +25,7 @@
 CANCEL_TIMEOUT_MS = 500.0
 PROBE_TIMEOUT_MS = 200.0
 IDLE_TIMEOUT_S = 120
+DEFAULT_CAP = 8
 
 _NOT_SENT = (
     net_error.ConnectError,
@@ -129,8 +130,8 @@
 class HttpClient:
     """Calls upstreams over HTTP, with a connection table for each.
 
-    ``cap`` is the number of connections to one upstream that this
-    process may hold.
+    ``caps`` says, for each service, how many connections to one upstream
+    this process may hold.
     """
 
     def __init__(
@@ -140,18 +141,21 @@
     ) -> None:
         self.reactor = reactor
         self.now_ms = now_ms
-        self.cap = 8
+        self.caps: dict[ids.ServiceName, int] = {}
         self.calls = 0
         self.tables: dict[ids.UpstreamId, connections.Connections] = {}
         self._lines: dict[tuple[ids.UpstreamId, int], _Line] = {}
         self._pending: set[defer.Deferred] = set()
 
-    def _table(self, upstream: ids.UpstreamId) -> connections.Connections:
+    def _table(
+        self, upstream: ids.UpstreamId, service: ids.ServiceName
+    ) -> connections.Connections:
+        cap = self.caps.get(service, DEFAULT_CAP)
         table = self.tables.get(upstream)
         if table is None:
-            table = connections.Connections(self.cap)
+            table = connections.Connections(cap)
             self.tables[upstream] = table
-        table.cap = self.cap
+        table.cap = cap
         return table
 
     def _line(
@@ -172,7 +176,7 @@
         handle: client.Handle,
     ) -> jobs.CallResult:
         """Make one call on one connection."""
-        table = self._table(upstream)
+        table = self._table(upstream, batch[0].service)
         connection = table.take(self.now_ms())
         if connection is None:
             return jobs.CallNotSent()
@@ -276,7 +280,7 @@
         self, upstream: ids.UpstreamId, batch: tuple[jobs.Job, ...]
     ) -> None:
         """Ask the upstream to stop work on these jobs."""
-        table = self._table(upstream)
+        table = self._table(upstream, batch[0].service)
         connection = table.take(self.now_ms())
         if connection is None:
             return
