--- a/Makefile
+++ b/Makefile
@@ -2,9 +2,10 @@
 PYTHON ?= python3.11
 VENV := .venv
 BIN := $(VENV)/bin
-PACKAGES := model settings wire policy platform upstream caller daemon cli \
-	fakes lab
-SOURCES := packages
+PACKAGES := model settings wire policy store http1 tier upstream caller \
+	daemon cli fakes lab
+ROOTS := $(foreach p,$(PACKAGES),packages/$(p)) platform
+SOURCES := packages platform
 STAMP := $(VENV)/.installed
 
 # For make measure: SEED, SCENARIO and DEPLOYMENT choose; JSON=1 prints lines.
@@ -19,20 +20,20 @@
 
 .PHONY: test demo demo-nordvind measure bench slopes concert lint clean
 
-$(STAMP): requirements.txt $(wildcard packages/*/pyproject.toml)
+$(STAMP): requirements.txt $(wildcard packages/*/pyproject.toml) \
+		platform/pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install --quiet --disable-pip-version-check \
 		--require-hashes -r requirements.txt
 	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps \
-		--no-build-isolation $(foreach p,$(PACKAGES),-e packages/$(p))
+		--no-build-isolation $(foreach r,$(ROOTS),-e $(r))
 	touch $@
 
 test: $(STAMP)
-	@set -e; for p in $(PACKAGES); do \
-		if ls packages/$$p/tests/test_*.py >/dev/null 2>&1; then \
-			echo "== $$p"; \
-			$(BIN)/python -m nose2 -s packages/$$p/tests \
-				-t packages/$$p/tests; \
+	@set -e; for r in $(ROOTS); do \
+		if ls $$r/tests/test_*.py >/dev/null 2>&1; then \
+			echo "== $$r"; \
+			$(BIN)/python -m nose2 -s $$r/tests -t $$r/tests; \
 		fi; \
 	done
 
@@ -68,9 +69,9 @@
 	@JSON=$(JSON) $(BIN)/python -m godwitflow.lab.concert
 
 lint: $(STAMP)
-	$(BIN)/ruff format --check --quiet packages
-	$(BIN)/flake8 packages
-	$(BIN)/mypy $(foreach p,$(PACKAGES),packages/$(p)/src)
+	$(BIN)/ruff format --check --quiet $(SOURCES)
+	$(BIN)/flake8 $(SOURCES)
+	$(BIN)/mypy $(foreach r,$(ROOTS),$(r)/src)
 
 clean:
 	rm -rf $(VENV) .mypy_cache .ruff_cache
--- a/packages/cli/src/godwitflow/cli/verbs.py
+++ b/packages/cli/src/godwitflow/cli/verbs.py
@@ -13,10 +13,10 @@
 from godwitflow.caller import client
 from godwitflow.daemon import operators
 from godwitflow.model import ids
-from godwitflow.platform import changes
-from godwitflow.platform import http as store_http
 from godwitflow.settings import config
 from godwitflow.settings import folder
+from godwitflow.store import changes
+from godwitflow.store import http as store_http
 
 STATUS_TIMEOUT_S = 3.0
 
--- a/packages/daemon/src/godwitflow/daemon/control.py
+++ b/packages/daemon/src/godwitflow/daemon/control.py
@@ -10,8 +10,6 @@
 from godwitflow.daemon import metrics as metrics_module
 from godwitflow.model import errors
 from godwitflow.model import ids
-from godwitflow.platform import store as store_module
-from godwitflow.platform import vms
 from godwitflow.policy import addresses
 from godwitflow.policy import budget
 from godwitflow.policy import catalog
@@ -20,6 +18,8 @@
 from godwitflow.policy import watchers
 from godwitflow.settings import accepted
 from godwitflow.settings import config
+from godwitflow.store import store as store_module
+from godwitflow.store import vms
 from godwitflow.wire import messages
 
 WATCH_WAIT_MS = 20_000.0
--- a/packages/daemon/src/godwitflow/daemon/journals.py
+++ b/packages/daemon/src/godwitflow/daemon/journals.py
@@ -12,10 +12,10 @@
 from godwitflow.model import answers
 from godwitflow.model import errors
 from godwitflow.model import ids
-from godwitflow.platform import store as store_module
 from godwitflow.policy import journal
 from godwitflow.policy import ownership
 from godwitflow.settings import config
+from godwitflow.store import store as store_module
 from godwitflow.wire import messages
 
 Send = typing.Callable[[ids.NodeId, messages.Message], None]
--- a/packages/daemon/src/godwitflow/daemon/node.py
+++ b/packages/daemon/src/godwitflow/daemon/node.py
@@ -19,12 +19,12 @@
 from godwitflow.daemon import operators
 from godwitflow.daemon import tracing
 from godwitflow.model import ids
-from godwitflow.platform import http as store_http
 from godwitflow.policy import catalog
 from godwitflow.policy import membership
 from godwitflow.policy import ownership
 from godwitflow.settings import config
 from godwitflow.settings import process
+from godwitflow.store import http as store_http
 from godwitflow.upstream import http as upstream_http
 from godwitflow.wire import codec
 from godwitflow.wire import links
--- a/packages/daemon/tests/test_control.py
+++ b/packages/daemon/tests/test_control.py
@@ -6,10 +6,10 @@
 from godwitflow.daemon import control
 from godwitflow.daemon import metrics
 from godwitflow.model import errors
-from godwitflow.platform import memory
 from godwitflow.policy import catalog
 from godwitflow.policy import membership
 from godwitflow.settings import accepted
+from godwitflow.store import memory
 from godwitflow.wire import messages
 
 
--- a/packages/fakes/src/godwitflow/fakes/platform.py
+++ b/packages/fakes/src/godwitflow/fakes/platform.py
@@ -14,8 +14,8 @@
 from twisted.web import server
 
 from godwitflow.model import errors
-from godwitflow.platform import http
-from godwitflow.platform import memory
+from godwitflow.store import http
+from godwitflow.store import memory
 
 MS_PER_S = 1_000.0
 
--- /dev/null
+++ b/packages/http1/src/godwitflow/http1/callers.py
@@ -0,0 +1,286 @@
+"""The server's side of a caller's connection.
+
+A connection reads one request at a time to its end, hands it on, and
+writes one response. What cannot be parsed gets 400 and ends the
+connection; nothing of it is handed on.
+"""
+
+import dataclasses
+import enum
+import typing
+
+import httptools
+from twisted.internet import error as net_error
+from twisted.internet import protocol
+
+from godwitflow.http1 import messages
+
+LINGER_MS = 1_000.0
+QUEUED_REQUESTS = 8
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+
+
+class State(enum.Enum):
+    """Where a caller's connection is."""
+
+    IDLE = "idle"
+    READING = "reading"
+    BUSY = "busy"
+    CLOSING = "closing"
+
+
+@dataclasses.dataclass(slots=True)
+class Limits:
+    """What a caller may send, and how long it may take or stay idle."""
+
+    header_bytes: int = 32_768
+    body_bytes: int = 8_388_608
+    header_timeout_ms: float = 10_000.0
+    idle_timeout_ms: float = 60_000.0
+
+
+class Exchange:
+    """One request of a caller and the one answer that it gets.
+
+    ``on_gone`` is called once if the caller leaves before the answer.
+    """
+
+    __slots__ = ("_connection", "on_gone", "request")
+
+    def __init__(
+        self, connection: "CallerConnection", request: messages.Request
+    ) -> None:
+        self._connection: CallerConnection | None = connection
+        self.request = request
+        self.on_gone: typing.Callable[[], None] | None = None
+
+    @property
+    def open(self) -> bool:
+        """Whether an answer is still awaited."""
+        return self._connection is not None
+
+    def answer(self, response: messages.Response) -> None:
+        """Send the answer; later ones are ignored."""
+        connection, self._connection = self._connection, None
+        self.on_gone = None
+        if connection is not None:
+            connection.write_answer(self.request, response)
+
+    def abandon(self) -> None:
+        """Note that the caller is gone."""
+        gone, self.on_gone = self.on_gone, None
+        self._connection = None
+        if gone is not None:
+            gone()
+
+
+class Server(typing.Protocol):
+    """What a caller's connection needs of the node."""
+
+    limits: Limits
+    closing: bool
+    connections: set["CallerConnection"]
+
+    def now_ms(self) -> float:
+        """Return the steady clock's time."""
+        ...
+
+    def handle(self, exchange: Exchange) -> None:
+        """Take a whole request."""
+        ...
+
+
+class CallerConnection(protocol.Protocol):
+    """Parses requests and writes answers in their order."""
+
+    transport: typing.Any
+
+    def __init__(self, server: Server) -> None:
+        self.server = server
+        self.state = State.IDLE
+        self.since_ms = server.now_ms()
+        self._parser: typing.Any = httptools.HttpRequestParser(self)
+        self._queue: list[messages.Request] = []
+        self._exchange: Exchange | None = None
+        self._failure: messages.Response | None = None
+        self._reset_message()
+
+    def _reset_message(self) -> None:
+        self._target = b""
+        self._headers: messages.Headers = []
+        self._body: list[bytes] | None = None
+        self._body_bytes = 0
+        self._head_done = False
+        self._head_bytes = 0
+        self._in_message = False
+
+    # The transport ------------------------------------------------------
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Count the connection as open."""
+        self.server.connections.add(self)
+        self.transport.setTcpNoDelay(True)
+
+    def connectionLost(  # noqa: N802
+        self, reason: typing.Any = net_error.ConnectionDone
+    ) -> None:
+        """Tell the request under way that its caller is gone."""
+        self.server.connections.discard(self)
+        self.state = State.CLOSING
+        self._queue.clear()
+        self._parser = None
+        exchange, self._exchange = self._exchange, None
+        if exchange is not None:
+            exchange.abandon()
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Parse what came, and start on the first whole request."""
+        if self.state is State.CLOSING or self._failure is not None:
+            return
+        if self.state is State.IDLE:
+            self.state = State.READING
+            self.since_ms = self.server.now_ms()
+        if not self._head_done:
+            self._head_bytes += len(data)
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._refuse(400, "upgrades are not supported")
+        except httptools.HttpParserError as error:
+            if self._failure is None:
+                self._refuse(400, f"malformed request: {error}")
+        limit = self.server.limits.header_bytes
+        if self._in_message and not self._head_done:
+            if self._head_bytes > limit and self._failure is None:
+                self._refuse(431, f"headers exceed {limit} bytes")
+        self._next()
+
+    # The parser ---------------------------------------------------------
+
+    def on_message_begin(self) -> None:
+        """Start a request."""
+        self._reset_message()
+        self._in_message = True
+
+    def on_url(self, url: bytes) -> None:
+        """Take a piece of the target."""
+        self._target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take a header; trailers are dropped."""
+        if not self._head_done:
+            self._headers.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        """Check the head, and invite the body where the caller waits."""
+        self._head_done = True
+        size = len(self._target) + sum(
+            len(name) + len(value) + 4 for name, value in self._headers
+        )
+        limits = self.server.limits
+        if size > limits.header_bytes:
+            self._refuse(431, f"headers exceed {limits.header_bytes} bytes")
+            return
+        length = messages.find(self._headers, b"content-length")
+        if length is not None and int(length) > limits.body_bytes:
+            self._refuse(413, f"the body exceeds {limits.body_bytes} bytes")
+            return
+        coding = messages.find(self._headers, b"transfer-encoding")
+        if coding is not None and coding.lower() != b"chunked":
+            self._refuse(400, "the transfer coding is not supported")
+            return
+        if length is not None or coding is not None:
+            self._body = []
+        expect = messages.find(self._headers, b"expect")
+        if expect is not None and expect.lower() == b"100-continue":
+            if self._exchange is None and not self._queue:
+                self.transport.write(CONTINUE)
+
+    def on_body(self, body: bytes) -> None:
+        """Take a piece of the body."""
+        if self._failure is not None or self._body is None:
+            return
+        self._body_bytes += len(body)
+        limit = self.server.limits.body_bytes
+        if self._body_bytes > limit:
+            self._refuse(413, f"the body exceeds {limit} bytes")
+            return
+        self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        """Queue a whole request."""
+        if self._failure is not None:
+            return
+        body = None if self._body is None else b"".join(self._body)
+        request = messages.Request(
+            self._parser.get_method(),
+            self._target,
+            self._headers,
+            body,
+            self._parser.should_keep_alive(),
+            self.server.now_ms(),
+        )
+        self._reset_message()
+        self._queue.append(request)
+        if len(self._queue) >= QUEUED_REQUESTS:
+            self.transport.pauseProducing()
+
+    def _refuse(self, status: int, text: str) -> None:
+        self._failure = messages.own_response(status, text)
+
+    # Answers ------------------------------------------------------------
+
+    def _next(self) -> None:
+        if self._exchange is not None or self.state is State.CLOSING:
+            return
+        if self._queue:
+            request = self._queue.pop(0)
+            self.state = State.BUSY
+            self._exchange = Exchange(self, request)
+            self.server.handle(self._exchange)
+        elif self._failure is not None:
+            self.fail(self._failure)
+
+    def write_answer(
+        self, request: messages.Request, response: messages.Response
+    ) -> None:
+        """Write the answer of the request under way."""
+        self._exchange = None
+        close = self.server.closing or not request.keep_alive
+        head_only = request.method == b"HEAD"
+        self.transport.write(
+            messages.serialize_response(response, close, head_only)
+        )
+        if close:
+            self.linger()
+            return
+        self.state = State.READING if self._in_message else State.IDLE
+        self.since_ms = self.server.now_ms()
+        if len(self._queue) < QUEUED_REQUESTS:
+            self.transport.resumeProducing()
+        self._next()
+
+    def fail(self, response: messages.Response) -> None:
+        """Answer what was read of a request, and end the connection."""
+        self.transport.write(messages.serialize_response(response, True))
+        self.linger()
+
+    def linger(self) -> None:
+        """End the sending side, and read on so that no reset is sent."""
+        self.state = State.CLOSING
+        self.since_ms = self.server.now_ms()
+        self.transport.loseWriteConnection()
+
+    def sweep(self, now_ms: float) -> None:
+        """End the connection where its caller took or idled too long."""
+        waited_ms = now_ms - self.since_ms
+        limits = self.server.limits
+        match self.state:
+            case State.CLOSING if waited_ms > LINGER_MS:
+                self.transport.abortConnection()
+            case State.READING if waited_ms > limits.header_timeout_ms:
+                self.fail(messages.own_response(408, "the request is late"))
+            case State.IDLE if waited_ms > limits.idle_timeout_ms:
+                self.linger()
+            case _:
+                pass
--- a/packages/lab/src/godwitflow/lab/concert.py
+++ b/packages/lab/src/godwitflow/lab/concert.py
@@ -20,8 +20,8 @@
 from godwitflow.lab import stage as stage_module
 from godwitflow.model import answers
 from godwitflow.model import errors
-from godwitflow.platform import changes
 from godwitflow.settings import folder
+from godwitflow.store import changes
 
 NODES = 9
 QUERY_GAP_S = 0.12
--- a/packages/lab/src/godwitflow/lab/stage.py
+++ b/packages/lab/src/godwitflow/lab/stage.py
@@ -13,9 +13,9 @@
 from godwitflow.model import errors
 from godwitflow.model import ids
 from godwitflow.model import index as index_model
-from godwitflow.platform import changes
-from godwitflow.platform import vms
 from godwitflow.settings import process
+from godwitflow.store import changes
+from godwitflow.store import vms
 
 READY_LIMIT_S = 10.0
 POLL_S = 0.02
--- a/packages/lab/tests/test_stage.py
+++ b/packages/lab/tests/test_stage.py
@@ -14,8 +14,8 @@
 from godwitflow.lab import stage as stage_module
 from godwitflow.model import answers
 from godwitflow.model import index
-from godwitflow.platform import changes
 from godwitflow.settings import folder
+from godwitflow.store import changes
 
 SMALL = deployment.Deployment(
     "small",
--- a/packages/model/src/godwitflow/model/errors.py
+++ b/packages/model/src/godwitflow/model/errors.py
@@ -44,6 +44,10 @@
     """No object has the name."""
 
 
+class StoreHistoryGoneError(StoreError):
+    """The store no longer keeps the changes after a revision."""
+
+
 class ValueTooLargeError(StoreError):
     """A value exceeds what the store holds in one object."""
 
--- /dev/null
+++ b/packages/policy/src/godwitflow/policy/replica_choice.py
@@ -0,0 +1,128 @@
+"""Which upstream of a service gets a call.
+
+Answers uneven load: replicas that are slow, paused, failing, rejecting,
+cold or silent. Each replica has a cost, the time that a call may take
+there; replicas are drawn with a probability that falls with the square
+of the cost, so that many nodes with the same view do not all choose the
+same one, and a costly replica is still tried now and then.
+"""
+
+import dataclasses
+import random
+import typing
+
+from godwitflow.model import ids
+
+LATENCY_GAIN = 0.2
+LATENCY_RATIO_MAX = 8.0
+RECOVERY_HALF_LIFE_MS = 2_000.0
+FAILURE_GAIN = 0.15
+FAILURE_MAX = 0.95
+COLD_FACTOR = 1.6
+FAR_FACTOR = 1.15
+EJECT_AFTER = 3
+EJECT_MS = 500.0
+EJECT_MAX_MS = 4_000.0
+
+
+@dataclasses.dataclass(slots=True)
+class ReplicaHealth:
+    """What this node has seen of one upstream.
+
+    ``latency_ratio`` compares its replies with those of its peers: 1 is
+    as fast as they. ``failure_share`` is the share of calls that failed
+    or were rejected. Both return to normal while nothing is seen.
+    """
+
+    latency_ratio: float = 1.0
+    failure_share: float = 0.0
+    failures_in_a_row: int = 0
+    ejected_until_ms: float = 0.0
+    ejections: int = 0
+    cold_until_ms: float = 0.0
+    seen_at_ms: float = 0.0
+    in_flight: int = 0
+    oldest_started_at_ms: float | None = None
+
+    def _age(self, now_ms: float) -> None:
+        elapsed_ms = now_ms - self.seen_at_ms
+        if elapsed_ms > 0:
+            kept = 0.5 ** (elapsed_ms / RECOVERY_HALF_LIFE_MS)
+            self.latency_ratio = 1.0 + (self.latency_ratio - 1.0) * kept
+            self.failure_share *= kept
+            self.seen_at_ms = now_ms
+
+    def on_reply(self, now_ms: float, ratio: float) -> None:
+        """Learn from a good reply that took ``ratio`` x the usual."""
+        self._age(now_ms)
+        ratio = min(ratio, LATENCY_RATIO_MAX)
+        self.latency_ratio += LATENCY_GAIN * (ratio - self.latency_ratio)
+        self.failure_share -= FAILURE_GAIN * self.failure_share
+        self.failures_in_a_row = 0
+        self.ejections = 0
+        self.ejected_until_ms = 0.0
+
+    def on_rejection(self, now_ms: float) -> None:
+        """Learn from a rejection: the upstream lives, but is full."""
+        self._age(now_ms)
+        self.failure_share += FAILURE_GAIN * (1.0 - self.failure_share)
+        self.failures_in_a_row = 0
+
+    def on_failure(self, now_ms: float) -> None:
+        """Learn from a failure; several in a row eject the upstream."""
+        self.on_rejection_share(now_ms)
+        self.failures_in_a_row += 1
+        if self.failures_in_a_row >= EJECT_AFTER:
+            spell_ms = min(EJECT_MAX_MS, EJECT_MS * 2**self.ejections)
+            self.ejected_until_ms = now_ms + spell_ms
+            self.ejections += 1
+            self.failures_in_a_row = EJECT_AFTER - 1
+
+    def on_rejection_share(self, now_ms: float) -> None:
+        """Count one call as failed in the share."""
+        self._age(now_ms)
+        self.failure_share += FAILURE_GAIN * (1.0 - self.failure_share)
+
+    def cost(self, now_ms: float, usual_ms: float, far: bool) -> float:
+        """Return the expected time of a call here, in milliseconds."""
+        self._age(now_ms)
+        cost_ms = usual_ms * self.latency_ratio * (self.in_flight + 1)
+        if now_ms < self.cold_until_ms:
+            cost_ms *= COLD_FACTOR
+        if far:
+            cost_ms *= FAR_FACTOR
+        if self.oldest_started_at_ms is not None:
+            stuck_ms = now_ms - self.oldest_started_at_ms - 3.0 * usual_ms
+            cost_ms += max(0.0, stuck_ms)
+        return cost_ms / (1.0 - min(FAILURE_MAX, self.failure_share))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Candidate:
+    """An upstream that could take a call now."""
+
+    upstream: ids.UpstreamId
+    health: ReplicaHealth
+    far: bool
+
+
+def choose(
+    candidates: typing.Sequence[Candidate],
+    now_ms: float,
+    usual_ms: float,
+    source: random.Random,
+) -> Candidate | None:
+    """Draw a candidate; ejected ones only where no other is left."""
+    sound = [
+        candidate
+        for candidate in candidates
+        if candidate.health.ejected_until_ms <= now_ms
+    ]
+    pool = sound or candidates
+    if len(pool) <= 1:
+        return pool[0] if pool else None
+    weights = []
+    for candidate in pool:
+        cost_ms = candidate.health.cost(now_ms, usual_ms, candidate.far)
+        weights.append(1.0 / (cost_ms * cost_ms))
+    return source.choices(pool, weights)[0]
--- a/packages/platform/src/godwitflow/platform/changes.py
+++ b/packages/store/src/godwitflow/store/changes.py
@@ -5,10 +5,10 @@
 
 from godwitflow.model import errors
 from godwitflow.model import ids
-from godwitflow.platform import store as store_module
 from godwitflow.settings import accepted
 from godwitflow.settings import config
 from godwitflow.settings import folder
+from godwitflow.store import store as store_module
 
 SETTLE_TRIES = 5
 
--- a/packages/platform/src/godwitflow/platform/http.py
+++ b/packages/store/src/godwitflow/store/http.py
@@ -18,7 +18,7 @@
 from twisted.web import client as web_client
 
 from godwitflow.model import errors
-from godwitflow.platform import store
+from godwitflow.store import store
 
 MS_PER_S = 1_000.0
 CALL_TIMEOUT_MS = 2_000.0
--- a/packages/platform/src/godwitflow/platform/memory.py
+++ b/packages/store/src/godwitflow/store/memory.py
@@ -5,7 +5,7 @@
 from twisted.internet import defer
 
 from godwitflow.model import errors
-from godwitflow.platform import store
+from godwitflow.store import store
 
 MS_PER_S = 1_000.0
 
--- a/packages/platform/tests/test_changes_explore.py
+++ b/packages/store/tests/test_changes_explore.py
@@ -6,10 +6,10 @@
 from twisted.internet import task
 
 from godwitflow.model import errors
-from godwitflow.platform import changes
-from godwitflow.platform import memory
 from godwitflow.settings import accepted
 from godwitflow.settings import folder
+from godwitflow.store import changes
+from godwitflow.store import memory
 
 BASE = b"""\
 services:
--- /dev/null
+++ b/packages/tier/src/godwitflow/tier/__init__.py
@@ -0,0 +1,1 @@
+"""The tasks of a node of the query tier."""
--- /dev/null
+++ b/packages/tier/src/godwitflow/tier/dispatcher.py
@@ -0,0 +1,299 @@
+"""Upstreams as this node uses them: connections, health and queues.
+
+The dispatcher owns a pool and a health record for each upstream, and for
+each service a retry budget and the calls that wait for a free place.
+"""
+
+import dataclasses
+import heapq
+import itertools
+import random
+import typing
+
+from godwitflow.http1 import upstreams
+from godwitflow.model import ids
+from godwitflow.policy import quantile
+from godwitflow.policy import registrations
+from godwitflow.policy import replica_choice
+from godwitflow.policy import retry_budget
+from godwitflow.policy import routing
+from godwitflow.tier import headers
+from godwitflow.tier import pool
+
+UNKNOWN_CAP = 8
+INITIAL_USUAL_SHARE = 0.15
+INITIAL_LATE_SHARE = 0.35
+LATE_QUANTILE = 0.88
+MISDIRECTED = 421
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Upstream:
+    """An upstream that may be given work."""
+
+    registration: registrations.Registration
+    pool: pool.Pool
+    health: replica_choice.ReplicaHealth
+    far: bool
+    misdirected: bool = False
+    calls: dict[int, float] = dataclasses.field(default_factory=dict)
+
+    def note_start(self, key: int, now_ms: float) -> None:
+        """Count a call as under way."""
+        self.calls[key] = now_ms
+        self._refresh()
+
+    def note_end(self, key: int) -> None:
+        """Count a call as over."""
+        self.calls.pop(key, None)
+        self._refresh()
+
+    def _refresh(self) -> None:
+        self.health.in_flight = len(self.calls)
+        oldest = next(iter(self.calls.values()), None)
+        self.health.oldest_started_at_ms = oldest
+
+
+class Waiter(typing.Protocol):
+    """A call that waits for a place at an upstream."""
+
+    def resume(self) -> bool:
+        """Try to send again; False while there is still no place."""
+        ...
+
+
+class Service:
+    """The upstreams of one service, its budget and its queue."""
+
+    def __init__(
+        self,
+        name: ids.ServiceName,
+        limits: retry_budget.RetryLimits,
+    ) -> None:
+        self.name = name
+        self.cap = UNKNOWN_CAP
+        self.upstreams: list[Upstream] = []
+        self.budget = retry_budget.RetryBudget(limits)
+        self.waiting: list[tuple[int, int, Waiter]] = []
+        self._draining = False
+
+    def drain(self) -> None:
+        """Let the most urgent waiting calls take the free places."""
+        if self._draining:
+            return
+        self._draining = True
+        while self.waiting:
+            entry = heapq.heappop(self.waiting)
+            if not entry[2].resume():
+                heapq.heappush(self.waiting, entry)
+                break
+        self._draining = False
+
+
+@dataclasses.dataclass(slots=True)
+class Pace:
+    """How long a route's calls to one upstream take, in milliseconds.
+
+    ``usual`` is the median and ``late`` the time after which a second
+    replica is worth a call.
+    """
+
+    usual: quantile.RunningQuantile
+    late: quantile.RunningQuantile
+
+
+class Dispatcher:
+    """Finds a place for each call and learns from its outcome."""
+
+    def __init__(
+        self,
+        reactor: typing.Any,
+        now_ms: typing.Callable[[], float],
+        names: headers.HeaderNames,
+        failure_domain: ids.FailureDomain,
+        limits: retry_budget.RetryLimits,
+        seed: int,
+    ) -> None:
+        self.reactor = reactor
+        self.now_ms = now_ms
+        self.names = names
+        self.nodes = 1
+        self.random = random.Random(seed)
+        self._failure_domain = failure_domain
+        self._limits = limits
+        self._services: dict[ids.ServiceName, Service] = {}
+        self._upstreams: dict[ids.UpstreamId, Upstream] = {}
+        self._paces: dict[str, Pace] = {}
+        self._keys = itertools.count()
+        self._order = itertools.count()
+
+    # What is known ------------------------------------------------------
+
+    def apply_configuration(
+        self, configuration: routing.Configuration
+    ) -> None:
+        """Take the connection caps of a configuration."""
+        for service in configuration.services.values():
+            self.service(service.name).cap = service.connection_cap
+        self._set_limits()
+
+    def apply_nodes(self, nodes: int) -> None:
+        """Take the number of nodes that share caps and budgets."""
+        if nodes != self.nodes:
+            self.nodes = max(1, nodes)
+            self._set_limits()
+
+    def _set_limits(self) -> None:
+        for service in self._services.values():
+            limit = max(1, service.cap // self.nodes)
+            for upstream in service.upstreams:
+                upstream.pool.limit = limit
+
+    def apply_registrations(
+        self, ready: list[registrations.Registration], now_ms: float
+    ) -> None:
+        """Take the upstreams that may be given work."""
+        wanted = {entry.upstream: entry for entry in ready}
+        for name, upstream in list(self._upstreams.items()):
+            entry = wanted.get(name)
+            if entry is None or _another(entry, upstream.registration):
+                self._drop(name, upstream)
+        for name, entry in wanted.items():
+            known = self._upstreams.get(name)
+            if known is None:
+                known = self._add(entry)
+            known.registration = entry
+            if entry.cold_left_ms > 0:
+                known.health.cold_until_ms = now_ms + entry.cold_left_ms
+        for service in self._services.values():
+            service.drain()
+
+    def _drop(self, name: ids.UpstreamId, upstream: Upstream) -> None:
+        del self._upstreams[name]
+        service = self.service(upstream.registration.service)
+        service.upstreams.remove(upstream)
+        upstream.pool.limit = 0
+        upstream.pool.close_idle()
+
+    def _add(self, entry: registrations.Registration) -> Upstream:
+        service = self.service(entry.service)
+        places = pool.Pool(
+            self.reactor,
+            entry.address,
+            max(1, service.cap // self.nodes),
+            self.names.request_id,
+            self.now_ms,
+            service.drain,
+        )
+        upstream = Upstream(
+            entry,
+            places,
+            replica_choice.ReplicaHealth(seen_at_ms=self.now_ms()),
+            entry.failure_domain != self._failure_domain,
+        )
+        self._upstreams[entry.upstream] = upstream
+        service.upstreams.append(upstream)
+        return upstream
+
+    def service(self, name: ids.ServiceName) -> Service:
+        """Return a service, known or new."""
+        found = self._services.get(name)
+        if found is None:
+            found = Service(name, self._limits)
+            self._services[name] = found
+        return found
+
+    def pace(self, route: routing.Route) -> Pace:
+        """Return how long a route's calls take."""
+        found = self._paces.get(route.name)
+        if found is None:
+            target_ms = route.target_ms
+            found = Pace(
+                quantile.RunningQuantile(0.5, INITIAL_USUAL_SHARE * target_ms),
+                quantile.RunningQuantile(
+                    LATE_QUANTILE, INITIAL_LATE_SHARE * target_ms
+                ),
+            )
+            self._paces[route.name] = found
+        return found
+
+    # Calls --------------------------------------------------------------
+
+    def usable(
+        self, service: Service, used: set[ids.UpstreamId]
+    ) -> list[Upstream]:
+        """Return the upstreams that a call has not been sent to."""
+        return [
+            upstream
+            for upstream in service.upstreams
+            if not upstream.misdirected
+            and upstream.registration.upstream not in used
+        ]
+
+    def choose(
+        self, usable: list[Upstream], usual_ms: float
+    ) -> Upstream | None:
+        """Choose among those with a free place; None where there is none."""
+        candidates = []
+        by_id = {}
+        for upstream in usable:
+            if upstream.pool.has_room:
+                name = upstream.registration.upstream
+                by_id[name] = upstream
+                candidates.append(
+                    replica_choice.Candidate(
+                        name, upstream.health, upstream.far
+                    )
+                )
+        chosen = replica_choice.choose(
+            candidates, self.now_ms(), usual_ms, self.random
+        )
+        return by_id[chosen.upstream] if chosen else None
+
+    def wait(self, service: Service, rank: ids.Rank, waiter: Waiter) -> None:
+        """Queue a call until a place is free, urgent ones first."""
+        entry = (int(rank), next(self._order), waiter)
+        heapq.heappush(service.waiting, entry)
+
+    def new_key(self) -> int:
+        """Return a key for a call under way."""
+        return next(self._keys)
+
+    def learn(
+        self,
+        upstream: Upstream,
+        pace: Pace,
+        elapsed_ms: float,
+        outcome: upstreams.Outcome,
+        rejected: bool,
+    ) -> None:
+        """Learn from the outcome of a call."""
+        now_ms = self.now_ms()
+        match outcome:
+            case upstreams.Replied(response) if rejected:
+                upstream.health.on_rejection(now_ms)
+                if response.status == MISDIRECTED:
+                    upstream.misdirected = True
+                    upstream.pool.close_idle()
+            case upstreams.Replied(response) if response.status >= 500:
+                upstream.health.on_failure(now_ms)
+            case upstreams.Replied():
+                usual_ms = max(0.1, pace.usual.value)
+                upstream.health.on_reply(now_ms, elapsed_ms / usual_ms)
+                pace.usual.record(elapsed_ms)
+                pace.late.record(elapsed_ms)
+            case upstreams.Broken(upstreams.Fault.CANCELLED):
+                pass
+            case upstreams.Broken():
+                upstream.health.on_failure(now_ms)
+
+
+def _another(
+    entry: registrations.Registration, known: registrations.Registration
+) -> bool:
+    """Tell whether an entry is another life, place or service."""
+    return (
+        entry.address != known.address
+        or entry.service != known.service
+        or entry.started_at_ms != known.started_at_ms
+    )
--- /dev/null
+++ b/packages/tier/src/godwitflow/tier/log.py
@@ -0,0 +1,81 @@
+"""Structured logs: JSON lines on standard output, bounded.
+
+Lines that standard output does not take at once are kept up to a bound;
+beyond it, and beyond the rate, they are counted and left out. Nothing
+here ever waits.
+"""
+
+import os
+import time
+import typing
+
+import msgspec
+
+LINES_A_SECOND = 40.0
+BURST_LINES = 200.0
+PENDING_BYTES = 65_536
+MS_PER_S = 1_000.0
+
+
+class Log:
+    """Writes one JSON object a line to a descriptor."""
+
+    def __init__(
+        self,
+        node: str,
+        now_ms: typing.Callable[[], float],
+        descriptor: int = 1,
+    ) -> None:
+        self.node = node
+        self._now_ms = now_ms
+        self._descriptor = descriptor
+        self._tokens = BURST_LINES
+        self._filled_at_ms = now_ms()
+        self._pending = b""
+        self._left_out = 0
+        self._encode = msgspec.json.Encoder(enc_hook=str).encode
+        os.set_blocking(descriptor, False)
+
+    def event(self, event: str, **fields: typing.Any) -> None:
+        """Log a change of what the process believes; never rated."""
+        self._write(event, fields)
+
+    def decision(self, event: str, **fields: typing.Any) -> None:
+        """Log a decision on a request, if the rate allows it."""
+        now_ms = self._now_ms()
+        gained = (now_ms - self._filled_at_ms) / MS_PER_S * LINES_A_SECOND
+        self._tokens = min(BURST_LINES, self._tokens + gained)
+        self._filled_at_ms = now_ms
+        if self._tokens < 1.0:
+            self._left_out += 1
+            return
+        self._tokens -= 1.0
+        self._write(event, fields)
+
+    def _write(self, event: str, fields: dict[str, typing.Any]) -> None:
+        row = {
+            "time": round(time.time(), 3),
+            "steady_ms": round(self._now_ms(), 1),
+            "node": self.node,
+            "event": event,
+            **fields,
+        }
+        if self._left_out:
+            row["lines_left_out"] = self._left_out
+        line = self._encode(row) + b"\n"
+        if len(self._pending) + len(line) > PENDING_BYTES:
+            self._left_out += 1
+            self._flush()
+            return
+        self._left_out = 0
+        self._pending += line
+        self._flush()
+
+    def _flush(self) -> None:
+        try:
+            written = os.write(self._descriptor, self._pending)
+        except BlockingIOError:
+            return
+        except OSError:
+            written = len(self._pending)  # nobody reads: nothing to keep
+        self._pending = self._pending[written:]
--- /dev/null
+++ b/packages/tier/src/godwitflow/tier/node.py
@@ -0,0 +1,284 @@
+"""A node's life: start, serve, stop.
+
+The node owns its tasks and joins them; every decision is elsewhere.
+"""
+
+import enum
+import random
+import typing
+
+from twisted.internet import defer
+from twisted.internet import task
+
+from godwitflow.http1 import callers
+from godwitflow.http1 import messages as http_messages
+from godwitflow.model import errors
+from godwitflow.policy import registrations
+from godwitflow.policy import routing
+from godwitflow.store import objects
+from godwitflow.tier import clock
+from godwitflow.tier import dispatcher as dispatching
+from godwitflow.tier import front as fronts
+from godwitflow.tier import headers
+from godwitflow.tier import log as logs
+from godwitflow.tier import mirror as mirrors
+from godwitflow.tier import peers as peering
+from godwitflow.tier import settings as node_settings
+from godwitflow.wire import messages
+
+SWEEP_S = 0.5
+MEMBER_KIND = "members"
+MEMBER_RETRY_S = 2.0
+BACKLOG = 512
+ADDRESS_AGE_S = 1.0
+STOP_STEP_S = 0.1
+MIN_STOP_SHARE = 0.3  # callers keep an address up to three answers long
+CLOSE_IDLE_SHARE = 0.58
+REFUSE_SHARE = 0.75
+MAX_STOP_SHARE = 0.92
+
+
+class Stage(enum.Enum):
+    """Where a node is in its life."""
+
+    STARTING = "starting"
+    SERVING = "serving"
+    STOPPING = "stopping"
+
+
+AddressAnswer = typing.Callable[[list[str], float], http_messages.Response]
+
+
+class Node:
+    """One process of the query tier."""
+
+    def __init__(
+        self,
+        reactor: typing.Any,
+        settings: node_settings.NodeSettings,
+        names: headers.HeaderNames,
+        store: objects.ObjectStore,
+        formats: mirrors.Formats,
+        log: logs.Log,
+        incarnation: int,
+        address_answer: AddressAnswer,
+    ) -> None:
+        self.stage = Stage.STARTING
+        self._reactor = reactor
+        self._settings = settings
+        self._store = store
+        self._address_answer = address_answer
+        self._log = log
+        seed = random.getrandbits(32)
+        self.dispatcher = dispatching.Dispatcher(
+            reactor,
+            clock.now_ms,
+            names,
+            settings.failure_domain,
+            settings.bounds.retry,
+            seed,
+        )
+        self.front = fronts.Front(self.dispatcher, log, seed)
+        self.mirror = mirrors.Mirror(
+            reactor,
+            store,
+            formats,
+            clock.now_ms,
+            log,
+            self._on_configuration,
+            self._on_registrations,
+        )
+        me = messages.MemberUpdate(
+            settings.node,
+            settings.failure_domain,
+            settings.inner,
+            settings.caller_address,
+            "",
+            incarnation,
+            messages.MemberState.ALIVE,
+        )
+        self.peers = peering.Peers(
+            me, settings.seeds, clock.now_ms, log, self._on_members, seed
+        )
+        self._callers = fronts.Listener(clock.now_ms, self._handle)
+        self._ready = fronts.Listener(clock.now_ms, self._on_ready_check)
+        self._directory = fronts.Listener(clock.now_ms, self._on_resolve)
+        self._ports: list[typing.Any] = []
+        self._caller_port: typing.Any = None
+        self._stopped: defer.Deferred[None] = defer.Deferred()
+        self._stop_at_ms = 0.0
+        self._refuse_at_ms = 0.0
+
+    # Start --------------------------------------------------------------
+
+    def start(self) -> "defer.Deferred[None]":
+        """Listen and follow the store; fires when the node has stopped."""
+        settings = self._settings
+        self._caller_port = self._listen(
+            settings.caller_address, self._callers
+        )
+        self._listen(settings.ready_address, self._ready)
+        self._listen(settings.directory_address, self._directory)
+        host, _, port = settings.inner.rpartition(":")
+        self._reactor.listenUDP(
+            int(port), self.peers, interface=host, maxPacketSize=65_507
+        )
+        self._every(peering.TICK_S, self.peers.tick)
+        self._every(SWEEP_S, self._sweep)
+        self.mirror.start()
+        defer.ensureDeferred(self._join())
+        self._log.event("started", settings=repr(settings))
+        return self._stopped
+
+    def _listen(self, address: str, factory: typing.Any) -> typing.Any:
+        host, _, port = address.rpartition(":")
+        listening = self._reactor.listenTCP(
+            int(port), factory, backlog=BACKLOG, interface=host
+        )
+        self._ports.append(listening)
+        return listening
+
+    def _every(
+        self, every_s: float, action: typing.Callable[[], None]
+    ) -> None:
+        loop = task.LoopingCall(action)
+        loop.clock = self._reactor
+        loop.start(every_s, now=False).addErrback(self._on_loop_failure)
+
+    def _on_loop_failure(self, failure: typing.Any) -> None:
+        self._log.event("task_failed", error=failure.getTraceback())
+        self._reactor.stop()
+
+    async def _join(self) -> None:
+        """Write this node's own object, and contact those listed."""
+        settings = self._settings
+        spec = {
+            "inner": settings.inner,
+            "caller": settings.caller_address,
+            "failure_domain": settings.failure_domain,
+        }
+        while self.stage is not Stage.STOPPING:
+            try:
+                listing = await self._store.list(MEMBER_KIND, stale=True)
+                self._contact(listing)
+                known = {found.name: found for found in listing.objects}
+                mine = known.get(settings.node)
+                if mine is None:
+                    await self._store.create(MEMBER_KIND, settings.node, spec)
+                elif mine.spec != spec:
+                    await self._store.replace(MEMBER_KIND, settings.node, spec)
+                return
+            except errors.StoreConflictError:
+                return
+            except errors.StoreError as error:
+                self._log.event("join_delayed", error=str(error))
+                await task.deferLater(self._reactor, MEMBER_RETRY_S)
+
+    def _contact(self, listing: objects.Listing) -> None:
+        inner = [
+            found.spec["inner"]
+            for found in listing.objects
+            if found.spec is not None
+            and found.name != self._settings.node
+            and isinstance(found.spec.get("inner"), str)
+        ]
+        self.peers.contact(inner)
+
+    # News ---------------------------------------------------------------
+
+    def _on_configuration(self, configuration: routing.Configuration) -> None:
+        self.dispatcher.apply_configuration(configuration)
+        self.front.apply(configuration)
+        limits = configuration.limits
+        if limits is not None:
+            self._callers.limits = callers.Limits(
+                limits.header_bytes,
+                limits.body_bytes,
+                limits.header_timeout_ms,
+                limits.idle_timeout_ms,
+            )
+        self._check_ready()
+
+    def _on_registrations(
+        self, ready: list[registrations.Registration]
+    ) -> None:
+        self.dispatcher.apply_registrations(ready, clock.now_ms())
+        self.front.registrations_known = True
+        self._check_ready()
+
+    def _check_ready(self) -> None:
+        known = self.front.table is not None
+        if self.stage is not Stage.STARTING or not known:
+            return
+        if not self.front.registrations_known:
+            return
+        self.stage = Stage.SERVING
+        self._log.event("ready")
+        self.peers.table.update_self(joined=True)
+        self.peers.announce()
+
+    def _on_members(self) -> None:
+        self.dispatcher.apply_nodes(self.peers.node_count())
+
+    # Requests -----------------------------------------------------------
+
+    def _handle(self, exchange: callers.Exchange) -> None:
+        now_ms = clock.now_ms()
+        if self.stage is Stage.STOPPING and now_ms > self._refuse_at_ms:
+            exchange.answer(
+                http_messages.own_response(503, "this node is stopping", 0.05)
+            )
+            return
+        self.front.handle(exchange)
+
+    def _on_ready_check(self, exchange: callers.Exchange) -> None:
+        ready = self.stage is Stage.SERVING
+        exchange.answer(
+            http_messages.own_response(200 if ready else 503, self.stage.value)
+        )
+
+    def _on_resolve(self, exchange: callers.Exchange) -> None:
+        addresses = [row.caller for row in self.peers.ready()]
+        if not addresses:
+            exchange.answer(
+                http_messages.own_response(503, "no node is ready", 0.2)
+            )
+            return
+        exchange.answer(self._address_answer(addresses, ADDRESS_AGE_S))
+
+    def _sweep(self) -> None:
+        for listener in (self._callers, self._ready, self._directory):
+            listener.sweep()
+
+    # Stop ---------------------------------------------------------------
+
+    def stop(self) -> None:
+        """Leave the address answers, finish what is here, and end."""
+        if self.stage is Stage.STOPPING:
+            return
+        self.stage = Stage.STOPPING
+        grace_ms = self._settings.bounds.stop_grace_ms
+        now_ms = clock.now_ms()
+        self._stop_at_ms = now_ms
+        self._refuse_at_ms = now_ms + REFUSE_SHARE * grace_ms
+        self._log.event("stopping", connections=len(self._callers.connections))
+        self.peers.leave()
+        self._callers.closing = True
+        self._every(STOP_STEP_S, self._stop_step)
+
+    def _stop_step(self) -> None:
+        grace_ms = self._settings.bounds.stop_grace_ms
+        elapsed_ms = clock.now_ms() - self._stop_at_ms
+        if elapsed_ms >= CLOSE_IDLE_SHARE * grace_ms:
+            self._callers.close_idle()
+        idle = not self._callers.connections
+        over = elapsed_ms >= MIN_STOP_SHARE * grace_ms and idle
+        if over or elapsed_ms >= MAX_STOP_SHARE * grace_ms:
+            self._end()
+
+    def _end(self) -> None:
+        if self._stopped.called:
+            return
+        self.mirror.stop()
+        self._log.event("stopped", connections=len(self._callers.connections))
+        self._stopped.callback(None)
--- /dev/null
+++ b/packages/tier/src/godwitflow/tier/peers.py
@@ -0,0 +1,169 @@
+"""The node's own protocol with its peers: members over datagrams.
+
+Probes carry news of members. First contact is by the seeds of the
+settings and by the members that the store lists.
+"""
+
+import typing
+
+from twisted.internet import protocol
+
+from godwitflow.model import errors
+from godwitflow.policy import membership
+from godwitflow.tier import log as logs
+from godwitflow.wire import codec
+from godwitflow.wire import messages
+
+TICK_S = 0.1
+SEED_EVERY_MS = 1_000.0
+MAX_DATAGRAM_BYTES = 1_400
+ROWS_A_DATAGRAM = 12
+
+
+class Peers(protocol.DatagramProtocol):
+    """Owns the datagram socket and the member table."""
+
+    transport: typing.Any
+
+    noisy = False
+
+    def __init__(
+        self,
+        me: messages.MemberUpdate,
+        seeds: typing.Sequence[str],
+        now_ms: typing.Callable[[], float],
+        log: logs.Log,
+        on_change: typing.Callable[[], None],
+        seed: int,
+    ) -> None:
+        self.table = membership.Membership(me, seed)
+        self.rejected = 0
+        self._seeds = [inner for inner in seeds if inner != me.inner]
+        self._now_ms = now_ms
+        self._log = log
+        self._on_change = on_change
+        self._next_seed_ms = 0.0
+        self._nodes_logged = 0
+
+    # Sending ------------------------------------------------------------
+
+    def tick(self) -> None:
+        """Run what is due; called every ``TICK_S``."""
+        now_ms = self._now_ms()
+        self._post(self.table.tick(now_ms))
+        lonely = len(self.table.alive()) <= 1
+        if lonely and now_ms >= self._next_seed_ms:
+            self._next_seed_ms = now_ms + SEED_EVERY_MS
+            self.contact(self._seeds)
+        self._notice()
+
+    def contact(self, inner_addresses: typing.Iterable[str]) -> None:
+        """Ask addresses for the member table, and name this node."""
+        hello = messages.Probe(0, (self.table.me,))
+        for inner in inner_addresses:
+            self._send(inner, [hello, messages.MembersPull()])
+
+    def leave(self) -> None:
+        """Tell every member at once that this node is leaving."""
+        self.table.leave()
+        for row in self.table.table():
+            if row.node != self.table.me.node:
+                self._send(row.inner, [messages.Probe(0, (self.table.me,))])
+
+    def announce(self) -> None:
+        """Tell every member what this node says of itself now."""
+        for row in self.table.table():
+            if row.node != self.table.me.node:
+                self._send(row.inner, [messages.Probe(0, (self.table.me,))])
+
+    def _post(self, actions: list[membership.SendTo]) -> None:
+        for action in actions:
+            self._send(action.inner, [action.message])
+
+    def _send(self, inner: str, batch: list[messages.Message]) -> None:
+        if self.transport is None:
+            return
+        me = self.table.me
+        header = codec.Header(codec.VERSION, me.node, me.incarnation, me.inner)
+        host, _, port = inner.rpartition(":")
+        data = codec.encode(header, batch)
+        try:
+            self.transport.write(data, (host, int(port)))
+        except OSError as error:
+            self._log.decision("datagram_lost", peer=inner, error=str(error))
+
+    # Receiving ----------------------------------------------------------
+
+    def datagramReceived(  # noqa: N802
+        self, data: bytes, addr: tuple[str, int]
+    ) -> None:
+        """Take a datagram; one that makes no sense is only counted."""
+        try:
+            received = codec.decode(data)
+        except errors.CodecError:
+            self.rejected += 1
+            return
+        self.rejected += received.rejected
+        for message in received.messages:
+            self._take(received.header, message)
+        self._notice()
+
+    def _take(self, header: codec.Header, message: messages.Message) -> None:
+        now_ms = self._now_ms()
+        match message:
+            case messages.Probe():
+                self._post(
+                    self.table.on_probe(
+                        now_ms, header.sender, header.inner, message
+                    )
+                )
+            case messages.ProbeAck():
+                self._post(self.table.on_ack(now_ms, message))
+            case messages.ProbeVia():
+                self._post(
+                    self.table.on_probe_via(
+                        now_ms, header.sender, header.inner, message
+                    )
+                )
+            case messages.MembersPull():
+                self._send_table(header.inner)
+            case messages.MembersPush():
+                self.table.merge(now_ms, message.updates)
+            case _:
+                self.rejected += 1
+
+    def _send_table(self, inner: str) -> None:
+        rows = self.table.table()
+        for start in range(0, len(rows), ROWS_A_DATAGRAM):
+            part = rows[start : start + ROWS_A_DATAGRAM]
+            self._send(inner, [messages.MembersPush(part)])
+
+    def _notice(self) -> None:
+        if not self.table.changed:
+            return
+        self.table.changed = False
+        states = {
+            str(row.node): row.state.name.lower() for row in self.table.table()
+        }
+        self._log.decision("members", states=states)
+        self._on_change()
+
+    # Reading ------------------------------------------------------------
+
+    def ready(self) -> list[messages.MemberUpdate]:
+        """Return the members that callers may be named, self included."""
+        return [
+            row
+            for row in self.table.alive()
+            if row.joined
+            and row.caller
+            and row.state is messages.MemberState.ALIVE
+        ]
+
+    def node_count(self) -> int:
+        """Return how many nodes share caps and budgets.
+
+        Members that were lost a short while ago count: they are likely
+        to be back, or cut off and still at work.
+        """
+        return len(self.table.table())
--- /dev/null
+++ b/packages/tier/src/godwitflow/tier/query.py
@@ -0,0 +1,332 @@
+"""A caller's request from its route to its answer.
+
+:class:`SingleRun` passes a request on to one service.
+:class:`GatherRun` sends it to every shard, and answers with all parts,
+or with what is in once waiting is worth less. It answers the load in
+which a few shards of a wide query are slow, paused or down.
+"""
+
+import heapq
+import typing
+
+from godwitflow.http1 import callers
+from godwitflow.http1 import messages
+from godwitflow.model import ids
+from godwitflow.policy import routing
+from godwitflow.tier import dispatcher as dispatching
+from godwitflow.tier import log as logs
+from godwitflow.tier import piece as pieces
+
+MS_PER_S = 1_000.0
+RECORD_BYTES = 16
+CALLER_LEG_MS = 9.0
+FINAL_MARGIN_MS = 15.0
+LATE_MIN_SHARE = 0.08
+LATE_MAX_SHARE = 0.45
+SINGLE_LATE_MAX_SHARE = 0.6
+RETRY_AFTER_S = 0.15
+SUCCESS = range(200, 300)
+
+
+def _good_single(response: messages.Response) -> bool:
+    return response.status < 500 and not _encoded(response)
+
+
+def _encoded(response: messages.Response) -> bool:
+    coding = messages.find(response.headers, b"content-encoding")
+    return coding is not None and coding.lower() != b"identity"
+
+
+class Run:
+    """What both kinds of run share: the answer, the timer, the end."""
+
+    def __init__(
+        self,
+        dispatcher: dispatching.Dispatcher,
+        log: logs.Log,
+        exchange: callers.Exchange,
+        work: pieces.Work,
+    ) -> None:
+        self.dispatcher = dispatcher
+        self.log = log
+        self.exchange = exchange
+        self.work = work
+        self.done = False
+        self._timer: typing.Any = None
+        exchange.on_gone = self._on_gone
+
+    def _at(self, at_ms: float, action: typing.Callable[[], None]) -> None:
+        """Run an action at a time, in place of the one planned before."""
+        self._stop_timer()
+        wait_s = max(0.0, at_ms - self.dispatcher.now_ms()) / MS_PER_S
+        self._timer = self.dispatcher.reactor.callLater(wait_s, action)
+
+    def _stop_timer(self) -> None:
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+        self._timer = None
+
+    def _answer(self, response: messages.Response) -> None:
+        self.done = True
+        self._stop_timer()
+        self.exchange.answer(response)
+
+    def _on_gone(self) -> None:
+        raise NotImplementedError
+
+    def _refuse(
+        self, status: int, reason: str, retry_after_s: float | None = None
+    ) -> None:
+        elapsed_ms = self.dispatcher.now_ms() - self.work.received_at_ms
+        self.log.decision(
+            "refused",
+            request=_text(self.work.request_id),
+            route=self.work.route.name,
+            status=status,
+            reason=reason,
+            elapsed_ms=round(elapsed_ms, 1),
+        )
+        self._answer(messages.own_response(status, reason, retry_after_s))
+
+
+class SingleRun(Run):
+    """Passes a request on to one service."""
+
+    def start(self, service: ids.ServiceName) -> None:
+        """Send the request."""
+        self._piece = pieces.Piece(
+            self.dispatcher,
+            self.work,
+            service,
+            _good_single,
+            self._on_result,
+        )
+        self._piece.start()
+        if self.done:
+            return
+        if self.work.idempotent:
+            late_ms = self.dispatcher.pace(self.work.route).late.value
+            target_ms = self.work.route.target_ms
+            late_ms = min(late_ms, SINGLE_LATE_MAX_SHARE * target_ms)
+            now_ms = self.dispatcher.now_ms()
+            late_at_ms = min(now_ms + late_ms, self._final_at_ms())
+            self._at(late_at_ms, self._on_late)
+        else:
+            self._at(self._final_at_ms(), self._on_final)
+
+    def _final_at_ms(self) -> float:
+        return self.work.deadline_at_ms - FINAL_MARGIN_MS
+
+    def _on_late(self) -> None:
+        self._piece.hedge()
+        self._at(self._final_at_ms(), self._on_final)
+
+    def _on_final(self) -> None:
+        ran = self._piece.exposed
+        self._piece.cancel()
+        if ran:
+            self._refuse(504, "the request timed out")
+        else:
+            self._refuse(503, "no upstream had room in time", RETRY_AFTER_S)
+
+    def _on_result(self, piece: pieces.Piece, result: pieces.Result) -> None:
+        match result:
+            case pieces.Got(response, _) if _encoded(response):
+                self._refuse(502, "the upstream's answer was malformed")
+            case pieces.Got(response, _):
+                headers = messages.end_to_end(response.headers)
+                if self.exchange.request.method == b"HEAD":
+                    headers += _length(response)
+                self._answer(
+                    messages.Response(
+                        response.status,
+                        response.reason,
+                        headers,
+                        response.body,
+                    )
+                )
+            case pieces.Nothing(lack, ran):
+                if ran:
+                    self._refuse(502, f"upstream call failed: {lack.value}")
+                else:
+                    self._refuse(503, f"not run: {lack.value}", RETRY_AFTER_S)
+
+    def _on_gone(self) -> None:
+        self.done = True
+        self._stop_timer()
+        if self.work.idempotent:
+            self._piece.cancel()
+        else:
+            self._piece.abandon()
+
+
+class GatherRun(Run):
+    """Sends a request to every shard and merges the parts."""
+
+    def start(self, gather: routing.Gather) -> None:
+        """Send the request to all shards."""
+        self._gather = gather
+        self._parts: list[tuple[ids.ServiceName, messages.Response]] = []
+        self._failed = 0
+        self._past_cutoff = False
+        self._pieces: list[pieces.Piece] = []
+        for shard in gather.shards:
+            piece = pieces.Piece(
+                self.dispatcher,
+                self.work,
+                shard,
+                self._good_part,
+                self._on_result,
+            )
+            self._pieces.append(piece)
+        for piece in self._pieces:
+            if not self.done:
+                piece.start()
+        if not self.done:
+            self._plan()
+
+    def _plan(self) -> None:
+        route = self.work.route
+        late_ms = self.dispatcher.pace(route).late.value
+        late_ms = max(late_ms, LATE_MIN_SHARE * route.target_ms)
+        late_ms = min(late_ms, LATE_MAX_SHARE * route.target_ms)
+        self._at(self.dispatcher.now_ms() + late_ms, self._on_late)
+
+    def _good_part(self, response: messages.Response) -> bool:
+        names = self.dispatcher.names
+        return (
+            response.status in SUCCESS
+            and messages.find(response.headers, names.signature) is not None
+            and not _encoded(response)
+        )
+
+    # Time ---------------------------------------------------------------
+
+    def _cutoff_at_ms(self) -> float:
+        target_ms = self.work.route.target_ms
+        return self.work.received_at_ms + target_ms - CALLER_LEG_MS
+
+    def _final_at_ms(self) -> float:
+        return self.work.deadline_at_ms - FINAL_MARGIN_MS
+
+    def _on_late(self) -> None:
+        for piece in self._pieces:
+            if piece.result is None:
+                piece.hedge()
+        at_ms = min(self._cutoff_at_ms(), self._final_at_ms())
+        self._at(at_ms, self._on_cutoff)
+
+    def _on_cutoff(self) -> None:
+        self._past_cutoff = True
+        self._at(self._final_at_ms(), self._on_final)
+        self._check()
+
+    def _on_final(self) -> None:
+        ran = any(piece.exposed for piece in self._pieces)
+        for piece in self._pieces:
+            piece.cancel()
+        if ran:
+            self._refuse(504, "too few shards answered in time")
+        else:
+            self._refuse(503, "no shard had room in time", RETRY_AFTER_S)
+
+    # Parts --------------------------------------------------------------
+
+    def _on_result(self, piece: pieces.Piece, result: pieces.Result) -> None:
+        match result:
+            case pieces.Got(response, _) if self._good_part(response):
+                self._parts.append((piece.service.name, response))
+            case _:
+                self._failed += 1
+        self._check()
+
+    def _check(self) -> None:
+        """Answer or refuse as soon as that is settled."""
+        if self.done:
+            return
+        total = len(self._gather.shards)
+        enough = len(self._parts) >= self._gather.least_share * total
+        enough = enough and len(self._parts) > 0
+        settled = len(self._parts) + self._failed == total
+        if settled and enough or self._past_cutoff and enough:
+            self._answer_parts()
+        elif (total - self._failed) < self._gather.least_share * total:
+            self._give_up()
+
+    def _give_up(self) -> None:
+        ran = any(piece.exposed for piece in self._pieces)
+        for piece in self._pieces:
+            piece.cancel()
+        text = f"{self._failed} shards cannot be had"
+        if ran:
+            self._refuse(502, text)
+        else:
+            self._refuse(503, text, RETRY_AFTER_S)
+
+    def _answer_parts(self) -> None:
+        names = self.dispatcher.names
+        missing = len(self._gather.shards) - len(self._parts)
+        signatures = [
+            messages.find(response.headers, names.signature) or b""
+            for _, response in self._parts
+        ]
+        headers: messages.Headers = [
+            (names.parts_out, b", ".join(signatures)),
+            (names.missing_out, b"%d" % missing),
+        ]
+        if self.work.request_id is not None:
+            headers.append((names.request_id_out, self.work.request_id))
+        bodies = [response.body for _, response in self._parts]
+        body = greatest(bodies, self._gather.top_count)
+        if missing:
+            self._log_partial()
+        for piece in self._pieces:
+            if piece.result is None:
+                piece.abandon()
+        self._answer(messages.Response(200, b"OK", headers, body))
+
+    def _log_partial(self) -> None:
+        missing = [
+            piece.service.name
+            for piece in self._pieces
+            if not isinstance(piece.result, pieces.Got)
+        ]
+        elapsed_ms = self.dispatcher.now_ms() - self.work.received_at_ms
+        self.log.decision(
+            "partial_answer",
+            request=_text(self.work.request_id),
+            route=self.work.route.name,
+            missing=missing,
+            elapsed_ms=round(elapsed_ms, 1),
+        )
+
+    def _on_gone(self) -> None:
+        self.done = True
+        self._stop_timer()
+        for piece in self._pieces:
+            piece.cancel()
+
+
+def greatest(bodies: list[bytes], count: int) -> bytes:
+    """Return the greatest records of all bodies, falling.
+
+    A remainder shorter than a record is none.
+
+    >>> greatest([b"a" * 16 + b"c" * 16, b"b" * 16 + b"z"], 2)
+    b'ccccccccccccccccbbbbbbbbbbbbbbbb'
+    """
+    records = [
+        body[start : start + RECORD_BYTES]
+        for body in bodies
+        for start in range(0, len(body) - RECORD_BYTES + 1, RECORD_BYTES)
+    ]
+    return b"".join(heapq.nlargest(count, records))
+
+
+def _length(response: messages.Response) -> messages.Headers:
+    length = messages.find(response.headers, b"content-length")
+    return [] if length is None else [(b"Content-Length", length)]
+
+
+def _text(value: bytes | None) -> str:
+    return "" if value is None else value.decode("latin-1")
