Leave dark shards out at once; avoid failing replicas harder

Change: an upstream that went silent is dark while a trial runs and 250 ms after it; a query leaves dark shards out, and is refused at once where too many are dark. The failure share counts squared in the cost and fades over 4 s. The cutoff leaves 13 ms for the caller's way.

--- a/packages/policy/src/godwitflow/policy/replica_choice.py
+++ b/packages/policy/src/godwitflow/policy/replica_choice.py
@@ -16,13 +16,16 @@
 LATENCY_GAIN = 0.2
 LATENCY_RATIO_MAX = 8.0
 RECOVERY_HALF_LIFE_MS = 2_000.0
-FAILURE_GAIN = 0.15
+FAILURE_GAIN = 0.2
 FAILURE_MAX = 0.95
+FAILURE_HALF_LIFE_MS = 4_000.0
+DARK_AFTER_MS = 300.0  # longer than the pauses of a sound upstream
 COLD_FACTOR = 1.6
 FAR_FACTOR = 1.15
 EJECT_AFTER = 3
 EJECT_MS = 500.0
-EJECT_MAX_MS = 4_000.0
+EJECT_MAX_MS = 1_000.0
+TRIAL_GAP_MS = 250.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -41,6 +44,9 @@
     ejections: int = 0
     cold_until_ms: float = 0.0
     seen_at_ms: float = 0.0
+    replied_at_ms: float = 0.0
+    silent: bool = False
+    tried_at_ms: float = 0.0
     in_flight: int = 0
     oldest_started_at_ms: float | None = None
 
@@ -49,12 +55,14 @@
         if elapsed_ms > 0:
             kept = 0.5 ** (elapsed_ms / RECOVERY_HALF_LIFE_MS)
             self.latency_ratio = 1.0 + (self.latency_ratio - 1.0) * kept
-            self.failure_share *= kept
+            self.failure_share *= 0.5 ** (elapsed_ms / FAILURE_HALF_LIFE_MS)
             self.seen_at_ms = now_ms
 
     def on_reply(self, now_ms: float, ratio: float) -> None:
         """Learn from a good reply that took ``ratio`` x the usual."""
         self._age(now_ms)
+        self.replied_at_ms = now_ms
+        self.silent = False
         ratio = min(ratio, LATENCY_RATIO_MAX)
         self.latency_ratio += LATENCY_GAIN * (ratio - self.latency_ratio)
         self.failure_share -= FAILURE_GAIN * self.failure_share
@@ -64,13 +72,14 @@
 
     def on_rejection(self, now_ms: float) -> None:
         """Learn from a rejection: the upstream lives, but is full."""
-        self._age(now_ms)
-        self.failure_share += FAILURE_GAIN * (1.0 - self.failure_share)
+        self._count_failure(now_ms)
+        self.replied_at_ms = now_ms
+        self.silent = False
         self.failures_in_a_row = 0
 
     def on_failure(self, now_ms: float) -> None:
         """Learn from a failure; several in a row eject the upstream."""
-        self.on_rejection_share(now_ms)
+        self._count_failure(now_ms)
         self.failures_in_a_row += 1
         if self.failures_in_a_row >= EJECT_AFTER:
             spell_ms = min(EJECT_MAX_MS, EJECT_MS * 2**self.ejections)
@@ -78,8 +87,15 @@
             self.ejections += 1
             self.failures_in_a_row = EJECT_AFTER - 1
 
-    def on_rejection_share(self, now_ms: float) -> None:
-        """Count one call as failed in the share."""
+    def on_silence(self, now_ms: float) -> None:
+        """Learn that a call was given up with no sign of the upstream."""
+        self._count_failure(now_ms)
+        if self.oldest_started_at_ms is None:
+            return
+        if self.replied_at_ms < self.oldest_started_at_ms:
+            self.silent = True
+
+    def _count_failure(self, now_ms: float) -> None:
         self._age(now_ms)
         self.failure_share += FAILURE_GAIN * (1.0 - self.failure_share)
 
@@ -94,7 +110,26 @@
         if self.oldest_started_at_ms is not None:
             stuck_ms = now_ms - self.oldest_started_at_ms - 3.0 * usual_ms
             cost_ms += max(0.0, stuck_ms)
-        return cost_ms / (1.0 - min(FAILURE_MAX, self.failure_share))
+        sound_share = 1.0 - min(FAILURE_MAX, self.failure_share)
+        return cost_ms / (sound_share * sound_share)
+
+    def dark(self, now_ms: float) -> bool:
+        """Tell whether a call has no prospect of an answer.
+
+        An upstream that went silent or keeps failing is dark while a
+        trial is under way and for a short while after; then the next
+        call is the trial.
+        """
+        if now_ms < self.ejected_until_ms:
+            return True
+        oldest_ms = self.oldest_started_at_ms
+        if self.silent:
+            return oldest_ms is not None or (
+                now_ms - self.tried_at_ms < TRIAL_GAP_MS
+            )
+        if oldest_ms is None or self.replied_at_ms > oldest_ms:
+            return False
+        return now_ms - oldest_ms > DARK_AFTER_MS
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -112,11 +147,11 @@
     usual_ms: float,
     source: random.Random,
 ) -> Candidate | None:
-    """Draw a candidate; ejected ones only where no other is left."""
+    """Draw a candidate; dark ones only where no other is left."""
     sound = [
         candidate
         for candidate in candidates
-        if candidate.health.ejected_until_ms <= now_ms
+        if not candidate.health.dark(now_ms)
     ]
     pool = sound or candidates
     if len(pool) <= 1:
--- a/packages/tier/src/godwitflow/tier/dispatcher.py
+++ b/packages/tier/src/godwitflow/tier/dispatcher.py
@@ -41,6 +41,7 @@
     def note_start(self, key: int, now_ms: float) -> None:
         """Count a call as under way."""
         self.calls[key] = now_ms
+        self.health.tried_at_ms = now_ms
         self._refresh()
 
     def note_end(self, key: int) -> None:
@@ -77,6 +78,17 @@
         self.waiting: list[tuple[int, int, Waiter]] = []
         self._draining = False
 
+    def dark(self, now_ms: float) -> bool:
+        """Tell whether no upstream of the service can be expected to answer.
+
+        An upstream whose spell is over counts as sound again, so that
+        the next request tries it.
+        """
+        return all(
+            upstream.misdirected or upstream.health.dark(now_ms)
+            for upstream in self.upstreams
+        )
+
     def drain(self) -> None:
         """Let the most urgent waiting calls take the free places."""
         if self._draining:
--- a/packages/tier/src/godwitflow/tier/piece.py
+++ b/packages/tier/src/godwitflow/tier/piece.py
@@ -46,6 +46,7 @@
     """Why a piece has no response."""
 
     NO_UPSTREAM = "no_upstream"
+    DARK = "dark"
     REJECTED = "rejected"
     NO_BUDGET = "no_budget"
     FAILED = "failed"
@@ -87,6 +88,7 @@
         service: ids.ServiceName,
         wanted: typing.Callable[[messages.Response], bool],
         on_result: typing.Callable[["Piece", Result], None],
+        skip_dark: bool = False,
     ) -> None:
         self.dispatcher = dispatcher
         self.work = work
@@ -97,6 +99,7 @@
         self.waiting = False
         self._wanted = wanted
         self._on_result = on_result
+        self._skip_dark = skip_dark
         self._pace = dispatcher.pace(work.route)
         self._used: set[ids.UpstreamId] = set()
         self._live: dict[int, _Live] = {}
@@ -109,9 +112,22 @@
         """Whether the request may have run, or may yet."""
         return self.may_have_run or bool(self._live)
 
+    @property
+    def dark(self) -> bool:
+        """Whether the service cannot be expected to answer."""
+        return self.service.dark(self.dispatcher.now_ms())
+
     def start(self) -> None:
-        """Send the request, or queue it until a place is free."""
+        """Send the request, or queue it until a place is free.
+
+        A shard that is dark is left out at once; the answer of a service
+        on its own is worth a try.
+        """
         self.service.budget.on_request(self.dispatcher.now_ms())
+        if self._skip_dark and self.dark:
+            self._lack = Lack.DARK
+            self._settle()
+            return
         self._send_or_wait()
 
     # Sending ------------------------------------------------------------
@@ -299,6 +315,6 @@
         """Stop calls that linger: their upstreams do not answer."""
         now_ms = self.dispatcher.now_ms()
         for live in list(self._live.values()):
-            live.upstream.health.on_failure(now_ms)
+            live.upstream.health.on_silence(now_ms)
             if live.connection is not None:
                 live.connection.cancel()
--- a/packages/tier/src/godwitflow/tier/query.py
+++ b/packages/tier/src/godwitflow/tier/query.py
@@ -19,12 +19,13 @@
 
 MS_PER_S = 1_000.0
 RECORD_BYTES = 16
-CALLER_LEG_MS = 9.0
+CALLER_LEG_MS = 13.0  # a new connection's handshake and the way back
 FINAL_MARGIN_MS = 15.0
 LATE_MIN_SHARE = 0.08
 LATE_MAX_SHARE = 0.45
 SINGLE_LATE_MAX_SHARE = 0.6
 RETRY_AFTER_S = 0.15
+DARK_RETRY_AFTER_S = 0.4
 SUCCESS = range(200, 300)
 
 
@@ -82,6 +83,7 @@
             "refused",
             request=_text(self.work.request_id),
             route=self.work.route.name,
+            attempts=self.work.route.attempts,
             status=status,
             reason=reason,
             elapsed_ms=round(elapsed_ms, 1),
@@ -170,6 +172,8 @@
         self._failed = 0
         self._past_cutoff = False
         self._pieces: list[pieces.Piece] = []
+        if self._refuse_dark():
+            return
         for shard in gather.shards:
             piece = pieces.Piece(
                 self.dispatcher,
@@ -177,6 +181,7 @@
                 shard,
                 self._good_part,
                 self._on_result,
+                skip_dark=True,
             )
             self._pieces.append(piece)
         for piece in self._pieces:
@@ -185,6 +190,23 @@
         if not self.done:
             self._plan()
 
+    def _refuse_dark(self) -> bool:
+        """Refuse at once where too many shards are known to be dark."""
+        now_ms = self.dispatcher.now_ms()
+        shards = self._gather.shards
+        dark = [
+            shard
+            for shard in shards
+            if self.dispatcher.service(shard).dark(now_ms)
+        ]
+        self._dark = len(dark)
+        lit = len(shards) - len(dark)
+        if lit > 0 and lit >= self._gather.least_share * len(shards):
+            return False
+        text = f"{len(dark)} of {len(shards)} shards are down"
+        self._refuse(503, text, DARK_RETRY_AFTER_S)
+        return True
+
     def _plan(self) -> None:
         route = self.work.route
         late_ms = self.dispatcher.pace(route).late.value
@@ -211,7 +233,7 @@
 
     def _on_late(self) -> None:
         for piece in self._pieces:
-            if piece.result is None:
+            if piece.result is None and not piece.dark:
                 piece.hedge()
         at_ms = min(self._cutoff_at_ms(), self._final_at_ms())
         self._at(at_ms, self._on_cutoff)
@@ -248,11 +270,19 @@
         enough = len(self._parts) >= self._gather.least_share * total
         enough = enough and len(self._parts) > 0
         settled = len(self._parts) + self._failed == total
-        if settled and enough or self._past_cutoff and enough:
+        ripe = settled or self._past_cutoff or self._rest_is_dark()
+        if enough and ripe:
             self._answer_parts()
         elif (total - self._failed) < self._gather.least_share * total:
             self._give_up()
 
+    def _rest_is_dark(self) -> bool:
+        """Tell whether only dark shards are still out."""
+        out = len(self._gather.shards) - len(self._parts) - self._failed
+        if out > self._dark:
+            return False
+        return all(piece.dark for piece in self._pieces if not piece.result)
+
     def _give_up(self) -> None:
         ran = any(piece.exposed for piece in self._pieces)
         for piece in self._pieces:
