Let three nodes follow the store and share what changes

Change: copies of kinds with deltas (policy/copies), watchers by rendezvous with staggered fallback (policy/store_watch), announcements by datagram and fetches over TCP (tier/replication). Entries removed while the store was away keep their grace on every node.

--- a/packages/policy/src/godwitflow/policy/registrations.py
+++ b/packages/policy/src/godwitflow/policy/registrations.py
@@ -6,7 +6,6 @@
 
 import dataclasses
 import enum
-import typing
 
 from godwitflow.model import ids
 
@@ -59,7 +58,6 @@
 
     def __init__(self) -> None:
         self._rows: dict[ids.UpstreamId, _Row] = {}
-        self.revision = 0
 
     def put(self, entry: Entry) -> bool:
         """Take an entry unless a newer one is known; True on change."""
@@ -80,30 +78,16 @@
         if row is not None and row.entry.revision < revision:
             del self._rows[name]
 
-    def replace_all(
-        self,
-        entries: typing.Iterable[Entry],
-        revision: int,
-        now_ms: float,
-        lapsed_meanwhile: bool,
+    def lapse(
+        self, name: ids.UpstreamId, revision: int, now_ms: float
     ) -> None:
-        """Take a whole list as of a revision.
+        """Mark an entry that was removed while the store was away.
 
-        Where entries may have lapsed because the store was away, missing
-        ones are kept for the grace in which they come back.
+        It is kept for the grace in which such entries come back.
         """
-        present = set()
-        for entry in entries:
-            present.add(entry.name)
-            self.put(entry)
-        for name, row in list(self._rows.items()):
-            if name in present or row.entry.revision > revision:
-                continue
-            if lapsed_meanwhile:
-                row.lapsed_at_ms = row.lapsed_at_ms or now_ms
-            else:
-                del self._rows[name]
-        self.revision = max(self.revision, revision)
+        row = self._rows.get(name)
+        if row is not None and row.entry.revision < revision:
+            row.lapsed_at_ms = now_ms
 
     def expire(self, now_ms: float) -> bool:
         """Drop entries that did not come back; True where any did not."""
@@ -117,10 +101,6 @@
             del self._rows[name]
         return bool(gone)
 
-    def entries(self) -> list[Entry]:
-        """Return every entry, valid or not."""
-        return [row.entry for row in self._rows.values()]
-
     def ready(self) -> list[Registration]:
         """Return the registrations that may be given work."""
         return [
--- a/packages/tier/src/godwitflow/tier/node.py
+++ b/packages/tier/src/godwitflow/tier/node.py
@@ -23,12 +23,17 @@
 from godwitflow.tier import log as logs
 from godwitflow.tier import mirror as mirrors
 from godwitflow.tier import peers as peering
+from godwitflow.tier import replication as replicating
 from godwitflow.tier import settings as node_settings
 from godwitflow.wire import messages
 
 SWEEP_S = 0.5
 MEMBER_KIND = "members"
 MEMBER_RETRY_S = 2.0
+LONELY_AFTER_S = 0.4
+FIRST_START_WAIT_MS = 1_500.0
+RESTART_WAIT_MS = 120.0
+ENLIST_AFTER_S = 10.0
 BACKLOG = 512
 ADDRESS_AGE_S = 1.0
 STOP_STEP_S = 0.1
@@ -81,7 +86,6 @@
         self.front = fronts.Front(self.dispatcher, log, seed)
         self.mirror = mirrors.Mirror(
             reactor,
-            store,
             formats,
             clock.now_ms,
             log,
@@ -98,11 +102,30 @@
             messages.MemberState.ALIVE,
         )
         self.peers = peering.Peers(
-            me, settings.seeds, clock.now_ms, log, self._on_members, seed
+            me,
+            settings.seeds,
+            clock.now_ms,
+            log,
+            self._on_members,
+            self._on_revisions,
+            self._revisions,
+            seed,
+        )
+        self.replication = replicating.Replication(
+            reactor,
+            store,
+            self.mirror.kinds,
+            settings.node,
+            self.peers,
+            self.mirror,
+            clock.now_ms,
+            log,
+            _first_wait_ms(settings),
         )
         self._callers = fronts.Listener(clock.now_ms, self._handle)
         self._ready = fronts.Listener(clock.now_ms, self._on_ready_check)
         self._directory = fronts.Listener(clock.now_ms, self._on_resolve)
+        self._inner = fronts.Listener(clock.now_ms, self.replication.answer)
         self._ports: list[typing.Any] = []
         self._caller_port: typing.Any = None
         self._stopped: defer.Deferred[None] = defer.Deferred()
@@ -119,13 +142,16 @@
         )
         self._listen(settings.ready_address, self._ready)
         self._listen(settings.directory_address, self._directory)
+        self._listen(settings.inner, self._inner)
         host, _, port = settings.inner.rpartition(":")
         self._reactor.listenUDP(
             int(port), self.peers, interface=host, maxPacketSize=65_507
         )
         self._every(peering.TICK_S, self.peers.tick)
+        self._every(peering.TICK_S, self.replication.tick)
         self._every(SWEEP_S, self._sweep)
-        self.mirror.start()
+        self.replication.start()
+        self.peers.tick()
         defer.ensureDeferred(self._join())
         self._log.event("started", settings=repr(settings))
         return self._stopped
@@ -150,23 +176,20 @@
         self._reactor.stop()
 
     async def _join(self) -> None:
-        """Write this node's own object, and contact those listed."""
-        settings = self._settings
-        spec = {
-            "inner": settings.inner,
-            "caller": settings.caller_address,
-            "failure_domain": settings.failure_domain,
-        }
+        """Leave this node's address in the store for later starts.
+
+        At the first start of all there is nothing to read. Otherwise the
+        list, which may be stale, is read only once the seeds had time to
+        answer, or later to see that this node is in it.
+        """
+        first = self._settings.first_start
+        if not first:
+            await task.deferLater(self._reactor, LONELY_AFTER_S)
+            if len(self.peers.living()) > 1:
+                await task.deferLater(self._reactor, ENLIST_AFTER_S)
         while self.stage is not Stage.STOPPING:
             try:
-                listing = await self._store.list(MEMBER_KIND, stale=True)
-                self._contact(listing)
-                known = {found.name: found for found in listing.objects}
-                mine = known.get(settings.node)
-                if mine is None:
-                    await self._store.create(MEMBER_KIND, settings.node, spec)
-                elif mine.spec != spec:
-                    await self._store.replace(MEMBER_KIND, settings.node, spec)
+                await self._enlist(known_absent=first)
                 return
             except errors.StoreConflictError:
                 return
@@ -174,6 +197,25 @@
                 self._log.event("join_delayed", error=str(error))
                 await task.deferLater(self._reactor, MEMBER_RETRY_S)
 
+    async def _enlist(self, known_absent: bool) -> None:
+        settings = self._settings
+        spec = {
+            "inner": settings.inner,
+            "caller": settings.caller_address,
+            "failure_domain": settings.failure_domain,
+        }
+        if known_absent:
+            await self._store.create(MEMBER_KIND, settings.node, spec)
+            return
+        listing = await self._store.list(MEMBER_KIND, stale=True)
+        self._contact(listing)
+        known = {found.name: found for found in listing.objects}
+        mine = known.get(settings.node)
+        if mine is None:
+            await self._store.create(MEMBER_KIND, settings.node, spec)
+        elif mine.spec != spec:
+            await self._store.replace(MEMBER_KIND, settings.node, spec)
+
     def _contact(self, listing: objects.Listing) -> None:
         inner = [
             found.spec["inner"]
@@ -217,6 +259,12 @@
         self.peers.table.update_self(joined=True)
         self.peers.announce()
 
+    def _on_revisions(self, inner: str, message: messages.Revisions) -> None:
+        self.replication.on_revisions(inner, message)
+
+    def _revisions(self) -> messages.Revisions:
+        return self.replication.revisions()
+
     def _on_members(self) -> None:
         self.dispatcher.apply_nodes(self.peers.node_count())
 
@@ -247,7 +295,12 @@
         exchange.answer(self._address_answer(addresses, ADDRESS_AGE_S))
 
     def _sweep(self) -> None:
-        for listener in (self._callers, self._ready, self._directory):
+        for listener in (
+            self._callers,
+            self._ready,
+            self._directory,
+            self._inner,
+        ):
             listener.sweep()
 
     # Stop ---------------------------------------------------------------
@@ -279,6 +332,17 @@
     def _end(self) -> None:
         if self._stopped.called:
             return
-        self.mirror.stop()
+        self.replication.stop()
         self._log.event("stopped", connections=len(self._callers.connections))
         self._stopped.callback(None)
+
+
+def _first_wait_ms(settings: node_settings.NodeSettings) -> float:
+    """Return how long a new node waits for peers before it reads the store.
+
+    The seeds read at once, and the others get what they read; at the
+    first start of all there is time for that.
+    """
+    if settings.inner in settings.seeds:
+        return 0.0
+    return FIRST_START_WAIT_MS if settings.first_start else RESTART_WAIT_MS
--- a/packages/tier/src/godwitflow/tier/peers.py
+++ b/packages/tier/src/godwitflow/tier/peers.py
@@ -34,6 +34,8 @@
         now_ms: typing.Callable[[], float],
         log: logs.Log,
         on_change: typing.Callable[[], None],
+        on_revisions: typing.Callable[[str, messages.Revisions], None],
+        revisions: typing.Callable[[], messages.Revisions],
         seed: int,
     ) -> None:
         self.table = membership.Membership(me, seed)
@@ -42,6 +44,8 @@
         self._now_ms = now_ms
         self._log = log
         self._on_change = on_change
+        self._on_revisions = on_revisions
+        self._revisions = revisions
         self._next_seed_ms = 0.0
         self._nodes_logged = 0
 
@@ -66,15 +70,17 @@
     def leave(self) -> None:
         """Tell every member at once that this node is leaving."""
         self.table.leave()
-        for row in self.table.table():
-            if row.node != self.table.me.node:
-                self._send(row.inner, [messages.Probe(0, (self.table.me,))])
+        self.announce()
 
     def announce(self) -> None:
         """Tell every member what this node says of itself now."""
-        for row in self.table.table():
+        self.tell(messages.Probe(0, (self.table.me,)))
+
+    def tell(self, message: messages.Message) -> None:
+        """Send a message to every living member but this one."""
+        for row in self.living():
             if row.node != self.table.me.node:
-                self._send(row.inner, [messages.Probe(0, (self.table.me,))])
+                self._send(row.inner, [message])
 
     def _post(self, actions: list[membership.SendTo]) -> None:
         for action in actions:
@@ -127,6 +133,9 @@
                 )
             case messages.MembersPull():
                 self._send_table(header.inner)
+                self._send(header.inner, [self._revisions()])
+            case messages.Revisions():
+                self._on_revisions(header.inner, message)
             case messages.MembersPush():
                 self.table.merge(now_ms, message.updates)
             case _:
@@ -160,6 +169,14 @@
             and row.state is messages.MemberState.ALIVE
         ]
 
+    def living(self) -> list[messages.MemberUpdate]:
+        """Return the members that are not known to be dead."""
+        return [
+            row
+            for row in self.table.table()
+            if row.state is not messages.MemberState.DEAD
+        ]
+
     def node_count(self) -> int:
         """Return how many nodes share caps and budgets.
 
--- a/packages/tier/src/godwitflow/tier/pool.py
+++ b/packages/tier/src/godwitflow/tier/pool.py
@@ -2,11 +2,13 @@
 
 import typing
 
+from twisted.internet import defer
 from twisted.internet import protocol
 
 from godwitflow.http1 import upstreams
 
 CONNECT_TIMEOUT_S = 1.0
+MS_PER_S = 1_000.0
 
 
 class _Factory(protocol.ClientFactory):
@@ -107,3 +109,19 @@
         """Close every connection."""
         for connection in list(self._all):
             connection.close()
+
+
+async def exchange(
+    reactor: typing.Any, places: Pool, data: bytes, timeout_ms: float
+) -> upstreams.Outcome:
+    """Send one request and wait for its outcome, up to a timeout."""
+    done: defer.Deferred[upstreams.Outcome] = defer.Deferred()
+    call = upstreams.Call(data, None, False, done.callback)
+    connection = places.start(call)
+    if connection is None:
+        return upstreams.Broken(upstreams.Fault.NOT_CONNECTED, False)
+    timer = reactor.callLater(timeout_ms / MS_PER_S, connection.cancel)
+    outcome = await done
+    if timer.active():
+        timer.cancel()
+    return outcome
--- a/packages/tier/src/godwitflow/tier/settings.py
+++ b/packages/tier/src/godwitflow/tier/settings.py
@@ -21,6 +21,8 @@
 
     Addresses are ``IP:PORT``. ``inner`` is for datagrams between nodes;
     ``seeds`` holds inner addresses of a few members, which may be stale.
+    ``first_start`` is set only when the whole system starts for the
+    first time.
     """
 
     node: ids.NodeId
@@ -32,4 +34,5 @@
     inner: str
     seeds: tuple[str, ...]
     store_address: str
+    first_start: bool
     bounds: Bounds
--- a/packages/wire/src/godwitflow/wire/messages.py
+++ b/packages/wire/src/godwitflow/wire/messages.py
@@ -6,6 +6,7 @@
 """
 
 import enum
+import typing
 
 import msgspec
 
@@ -248,6 +249,45 @@
     updates: tuple[MemberUpdate, ...]
 
 
+class KindRevision(msgspec.Struct, frozen=True, array_like=True):
+    """How far a node's copy of a kind of the store's objects goes.
+
+    ``sound`` says that the node follows the store itself, and reaches it.
+    """
+
+    kind: str
+    revision: int
+    sound: bool
+
+
+class Revisions(msgspec.Struct, frozen=True, array_like=True, tag=18):
+    """A node tells its peers how far its copies go."""
+
+    kinds: tuple[KindRevision, ...]
+
+
+class ObjectChange(msgspec.Struct, frozen=True, array_like=True):
+    """One change of an object; ``spec`` is None where it was unreadable."""
+
+    name: str
+    revision: int
+    removed: bool
+    spec: dict[str, typing.Any] | None
+
+
+class Delta(msgspec.Struct, frozen=True, array_like=True, tag=19):
+    """What a peer lacks of a kind; the reply to a fetch over TCP.
+
+    Where ``whole`` is set, ``changes`` holds every object that exists.
+    """
+
+    kind: str
+    after: int
+    revision: int
+    whole: bool
+    changes: tuple[ObjectChange, ...]
+
+
 Message = (
     Scatter
     | Piece
@@ -266,4 +306,6 @@
     | Pong
     | MembersPull
     | MembersPush
+    | Revisions
+    | Delta
 )
