--- a/packages/http1/src/godwitflow/http1/callers.py
+++ b/packages/http1/src/godwitflow/http1/callers.py
@@ -158,8 +158,7 @@
     # The parser ---------------------------------------------------------
 
     def on_message_begin(self) -> None:
-        """Start a request."""
-        self._reset_message()
+        """Start a request; its fields were reset after the last one."""
         self._in_message = True
 
     def on_url(self, url: bytes) -> None:
--- /dev/null
+++ b/packages/http1/tests/test_callers.py
@@ -0,0 +1,182 @@
+"""Tests of the server's side of a caller's connection."""
+
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+import transports
+
+from godwitflow.http1 import callers
+from godwitflow.http1 import messages
+
+GET = b"GET /a/b?c=1 HTTP/1.1\r\nHost: a.example\r\nRequest-Id: 1\r\n\r\n"
+POST = b"POST /x HTTP/1.1\r\nHost: a.example\r\nContent-Length: 5\r\n\r\nhello"
+CHUNKED = (
+    b"POST /y HTTP/1.1\r\nHost: a.example\r\nTransfer-Encoding: chunked"
+    b"\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+)
+SETTINGS = hypothesis.settings(
+    max_examples=150, deadline=None, derandomize=True, database=None
+)
+
+
+class Server:
+    """Keeps the exchanges; the test answers them."""
+
+    def __init__(self):
+        self.limits = callers.Limits(
+            header_bytes=500,
+            body_bytes=100,
+            header_timeout_ms=1_000.0,
+            idle_timeout_ms=3_000.0,
+        )
+        self.closing = False
+        self.connections = set()
+        self.exchanges = []
+        self.time_ms = 0.0
+
+    def now_ms(self):
+        return self.time_ms
+
+    def handle(self, exchange):
+        self.exchanges.append(exchange)
+
+
+def connect(server):
+    connection = callers.CallerConnection(server)
+    connection.makeConnection(transports.Transport())
+    return connection
+
+
+def seen(data, cuts, answer=True):
+    """Feed data in pieces; return the requests and what was written."""
+    server = Server()
+    connection = connect(server)
+    edges = [0, *sorted(cuts), len(data)]
+    requests = []
+    for start, end in zip(edges, edges[1:]):
+        if end > start:
+            connection.dataReceived(data[start:end])
+        while answer and len(server.exchanges) > len(requests):
+            exchange = server.exchanges[len(requests)]
+            found = exchange.request
+            requests.append(
+                (found.method, found.target, found.headers, found.body)
+            )
+            exchange.answer(messages.own_response(200, "ok"))
+    return requests, connection.transport.written
+
+
+class CallerConnectionTest(unittest.TestCase):
+    def test_request_is_kept_to_the_byte(self):
+        requests, _ = seen(GET + POST + CHUNKED, [])
+        self.assertEqual(
+            [(b"GET", b"/a/b?c=1"), (b"POST", b"/x"), (b"POST", b"/y")],
+            [request[:2] for request in requests],
+        )
+        self.assertEqual(
+            [None, b"hello", b"abcde"], [request[3] for request in requests]
+        )
+        self.assertIn((b"Request-Id", b"1"), requests[0][2])
+
+    @SETTINGS
+    @hypothesis.given(
+        strategies.lists(
+            strategies.integers(0, len(GET + POST + CHUNKED)), max_size=12
+        )
+    )
+    def test_any_split_gives_the_same_requests(self, cuts):
+        data = GET + POST + CHUNKED
+        self.assertEqual(seen(data, []), seen(data, cuts))
+
+    @SETTINGS
+    @hypothesis.given(strategies.binary(max_size=200))
+    def test_garbage_after_a_request_is_never_a_request(self, garbage):
+        hypothesis.assume(not garbage.lstrip(b"\r\n")[:1].isalpha())
+        requests, _ = seen(GET + garbage, [])
+        self.assertEqual(1, len(requests))
+
+    def test_smuggling_is_refused(self):
+        for data in (
+            b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /in HTTP/1.1\r\n",
+            b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n"
+            b"Content-Length: 5\r\n\r\nabcGE",
+            b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip, chunked"
+            b"\r\n\r\n0\r\n\r\n",
+            b"GET / HTTP/1.1\r\nHost: a\r\nBad Header: x\r\n\r\n",
+        ):
+            requests, written = seen(data, [])
+            self.assertEqual([], requests, data)
+            self.assertTrue(written.startswith(b"HTTP/1.1 400 "), written)
+
+    def test_answers_keep_the_order_of_requests(self):
+        server = Server()
+        connection = connect(server)
+        connection.dataReceived(GET + POST)
+        self.assertEqual(1, len(server.exchanges))
+        server.exchanges[0].answer(messages.own_response(200, "first"))
+        server.exchanges[1].answer(messages.own_response(200, "second"))
+        written = connection.transport.written
+        self.assertLess(written.index(b"first"), written.index(b"second"))
+
+    def test_second_answer_is_ignored(self):
+        server = Server()
+        connection = connect(server)
+        connection.dataReceived(GET)
+        server.exchanges[0].answer(messages.own_response(200, "first"))
+        connection.transport.take()
+        server.exchanges[0].answer(messages.own_response(200, "second"))
+        self.assertEqual(b"", connection.transport.written)
+
+    def test_caller_that_leaves_is_noticed(self):
+        server = Server()
+        connection = connect(server)
+        connection.dataReceived(GET)
+        gone = []
+        server.exchanges[0].on_gone = lambda: gone.append(True)
+        connection.connectionLost(transports.clean_end())
+        self.assertEqual([True], gone)
+        server.exchanges[0].answer(messages.own_response(200, "late"))
+        self.assertEqual(b"", connection.transport.written)
+
+    def test_large_head_and_body_are_refused(self):
+        _, written = seen(b"GET /" + b"a" * 600 + b" HTTP/1.1\r\n", [])
+        self.assertTrue(written.startswith(b"HTTP/1.1 431 "))
+        head = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 101\r\n\r\n"
+        _, written = seen(head, [])
+        self.assertTrue(written.startswith(b"HTTP/1.1 413 "))
+
+    def test_slow_head_gets_408_and_idle_connection_ends(self):
+        server = Server()
+        connection = connect(server)
+        connection.dataReceived(GET[:10])
+        server.time_ms = 1_001.0
+        connection.sweep(server.time_ms)
+        self.assertIn(b"408", connection.transport.written)
+        idle = connect(server)
+        idle.sweep(server.time_ms + 2_999.0)
+        self.assertFalse(idle.transport.write_closed)
+        idle.sweep(server.time_ms + 3_001.0)
+        self.assertTrue(idle.transport.write_closed)
+        self.assertEqual(b"", idle.transport.written)
+
+    def test_stopping_server_closes_after_the_answer(self):
+        server = Server()
+        connection = connect(server)
+        connection.dataReceived(GET)
+        server.closing = True
+        server.exchanges[0].answer(messages.own_response(200, "last"))
+        self.assertIn(b"Connection: close\r\n", connection.transport.written)
+        self.assertTrue(connection.transport.write_closed)
+
+    def test_waiting_body_is_invited(self):
+        server = Server()
+        connection = connect(server)
+        connection.dataReceived(
+            b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n"
+            b"Expect: 100-continue\r\n\r\n"
+        )
+        self.assertEqual(callers.CONTINUE, connection.transport.take())
+        connection.dataReceived(b"ok")
+        self.assertEqual(b"ok", server.exchanges[0].request.body)
--- a/packages/policy/src/godwitflow/policy/replica_choice.py
+++ b/packages/policy/src/godwitflow/policy/replica_choice.py
@@ -20,6 +20,7 @@
 FAILURE_MAX = 0.95
 FAILURE_HALF_LIFE_MS = 4_000.0
 DARK_AFTER_MS = 300.0  # longer than the pauses of a sound upstream
+DARK_AFTER_USUAL = 5.0
 COLD_FACTOR = 1.6
 FAR_FACTOR = 1.15
 EJECT_AFTER = 3
@@ -47,6 +48,7 @@
     replied_at_ms: float = 0.0
     silent: bool = False
     tried_at_ms: float = 0.0
+    usual_ms: float = 0.0
     in_flight: int = 0
     oldest_started_at_ms: float | None = None
 
@@ -58,9 +60,13 @@
             self.failure_share *= 0.5 ** (elapsed_ms / FAILURE_HALF_LIFE_MS)
             self.seen_at_ms = now_ms
 
-    def on_reply(self, now_ms: float, ratio: float) -> None:
-        """Learn from a good reply that took ``ratio`` x the usual."""
+    def on_reply(
+        self, now_ms: float, elapsed_ms: float, usual_ms: float
+    ) -> None:
+        """Learn from a good reply."""
         self._age(now_ms)
+        self.usual_ms = usual_ms
+        ratio = elapsed_ms / usual_ms
         self.replied_at_ms = now_ms
         self.silent = False
         ratio = min(ratio, LATENCY_RATIO_MAX)
@@ -87,14 +93,17 @@
             self.ejections += 1
             self.failures_in_a_row = EJECT_AFTER - 1
 
-    def on_silence(self, now_ms: float) -> None:
-        """Learn that a call was given up with no sign of the upstream."""
-        self._count_failure(now_ms)
-        if self.oldest_started_at_ms is None:
+    def on_given_up(self, now_ms: float, started_at_ms: float) -> None:
+        """Learn that a call was given up; a long one tells of silence."""
+        if now_ms - started_at_ms < self._patience_ms():
             return
-        if self.replied_at_ms < self.oldest_started_at_ms:
+        self._count_failure(now_ms)
+        if self.replied_at_ms < started_at_ms:
             self.silent = True
 
+    def _patience_ms(self) -> float:
+        return max(DARK_AFTER_MS, DARK_AFTER_USUAL * self.usual_ms)
+
     def _count_failure(self, now_ms: float) -> None:
         self._age(now_ms)
         self.failure_share += FAILURE_GAIN * (1.0 - self.failure_share)
@@ -113,6 +122,10 @@
         sound_share = 1.0 - min(FAILURE_MAX, self.failure_share)
         return cost_ms / (sound_share * sound_share)
 
+    def doubtful(self, now_ms: float) -> bool:
+        """Tell whether the upstream must prove first that it is back."""
+        return self.silent or self.dark(now_ms)
+
     def dark(self, now_ms: float) -> bool:
         """Tell whether a call has no prospect of an answer.
 
@@ -129,7 +142,7 @@
             )
         if oldest_ms is None or self.replied_at_ms > oldest_ms:
             return False
-        return now_ms - oldest_ms > DARK_AFTER_MS
+        return now_ms - oldest_ms > self._patience_ms()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/policy/src/godwitflow/policy/store_watch.py
+++ b/packages/policy/src/godwitflow/policy/store_watch.py
@@ -6,6 +6,7 @@
 store itself; the others do so one after another, as one is enough.
 """
 
+import functools
 import hashlib
 import typing
 
@@ -26,6 +27,7 @@
     )
 
 
+@functools.lru_cache(maxsize=16_384)
 def _weight(node: ids.NodeId, salt: str) -> bytes:
     data = f"{salt}/{node}".encode()
     return hashlib.blake2b(data, digest_size=8).digest()
--- /dev/null
+++ b/packages/policy/tests/test_copies.py
@@ -0,0 +1,125 @@
+"""Tests of copies: no order of news takes a copy back."""
+
+import itertools
+import random
+import unittest
+
+from godwitflow.policy import copies
+from godwitflow.policy import store_watch
+from godwitflow.store import objects
+
+
+def put(name, revision):
+    return objects.Change(
+        objects.Object(name, revision, {"r": revision}), False
+    )
+
+
+def gone(name, revision):
+    return objects.Change(objects.Object(name, revision, None), True)
+
+
+HISTORY = [
+    put("a", 1),
+    put("b", 2),
+    put("a", 3),
+    gone("b", 4),
+    put("c", 5),
+    put("b", 6),
+    gone("a", 7),
+]
+
+
+def truth(revision):
+    state = {}
+    for change in HISTORY:
+        if change.object.revision <= revision:
+            if change.removed:
+                state.pop(change.object.name, None)
+            else:
+                state[change.object.name] = change.object
+    return state
+
+
+def whole(revision):
+    changes = tuple(
+        objects.Change(found, False) for found in truth(revision).values()
+    )
+    return copies.Delta("k", 0, revision, True, changes)
+
+
+def part(after, revision):
+    changes = tuple(
+        change
+        for change in HISTORY
+        if after < change.object.revision <= revision
+    )
+    return copies.Delta("k", after, revision, False, changes)
+
+
+class CopyTest(unittest.TestCase):
+    def test_any_order_of_news_holds_a_true_state_and_goes_forward(self):
+        deltas = [whole(2), part(2, 4), part(4, 7), part(1, 5), whole(3)]
+        for order in itertools.permutations(deltas):
+            copy = copies.Copy("k")
+            last = 0
+            for delta in order:
+                copy.take(delta)
+                self.assertGreaterEqual(copy.revision, last)
+                self.assertEqual(truth(copy.revision), copy.objects, order)
+                last = copy.revision
+
+    def test_peers_that_gossip_at_random_agree(self):
+        source = random.Random(11)
+        peers = [copies.Copy("k") for _ in range(4)]
+        peers[0].take(whole(1))
+        for step in range(200):
+            if step % 10 == 0 and peers[0].revision < 7:
+                known = peers[0].revision
+                peers[0].take(part(known, known + 1))
+            giver, taker = source.sample(peers, 2)
+            if giver.revision:
+                taker.take(giver.since(taker.revision))
+            for peer in peers:
+                self.assertEqual(truth(peer.revision), peer.objects)
+        self.assertEqual([7] * 4, [peer.revision for peer in peers])
+
+    def test_news_names_what_a_list_lacks(self):
+        copy = copies.Copy("k")
+        copy.take(whole(3))
+        news = copy.take(whole(5))
+        removed = [change.object.name for change in news if change.removed]
+        self.assertEqual(["b"], removed)
+
+    def test_peer_far_behind_gets_everything(self):
+        copy = copies.Copy("k")
+        copy.take(whole(1))
+        for revision in range(2, copies.CHANGES_KEPT + 10):
+            copy.take(
+                copies.Delta(
+                    "k", revision - 1, revision, False, (put("z", revision),)
+                )
+            )
+        self.assertTrue(copy.since(1).whole)
+        self.assertFalse(copy.since(copy.revision - 5).whole)
+
+
+class StoreWatchTest(unittest.TestCase):
+    def test_three_of_the_living_watch(self):
+        nodes = [f"n{number}" for number in range(64)]
+        ranks = sorted(
+            store_watch.rank(node, nodes, "store") for node in nodes
+        )
+        self.assertEqual(list(range(64)), ranks)
+
+    def test_uncovered_nodes_follow_one_after_another(self):
+        follows = store_watch.follows
+        covered_at_ms = 10_000.0
+        self.assertTrue(follows(10_000.0, 2, covered_at_ms, 0.0))
+        self.assertFalse(follows(10_900.0, 3, covered_at_ms, 0.0))
+        self.assertTrue(follows(11_001.0, 3, covered_at_ms, 0.0))
+        self.assertFalse(follows(11_001.0, 4, covered_at_ms, 0.0))
+        self.assertTrue(follows(11_121.0, 4, covered_at_ms, 0.0))
+
+    def test_node_that_stays_behind_follows(self):
+        self.assertTrue(store_watch.follows(10_000.0, 60, 10_000.0, 1_001.0))
--- /dev/null
+++ b/packages/policy/tests/test_replica_choice.py
@@ -0,0 +1,98 @@
+"""Tests of the choice of a replica under the loads that it answers."""
+
+import random
+import unittest
+
+from godwitflow.policy import replica_choice
+
+
+def share_of(healths, name, now_ms=0.0, draws=2_000):
+    source = random.Random(3)
+    candidates = [
+        replica_choice.Candidate(key, health, False)
+        for key, health in healths.items()
+    ]
+    hits = sum(
+        replica_choice.choose(candidates, now_ms, 10.0, source).upstream
+        == name
+        for _ in range(draws)
+    )
+    return hits / draws
+
+
+def fresh():
+    return {name: replica_choice.ReplicaHealth() for name in ("a", "b", "c")}
+
+
+class ReplicaChoiceTest(unittest.TestCase):
+    def test_equals_share_evenly(self):
+        for name in "abc":
+            self.assertAlmostEqual(1 / 3, share_of(fresh(), name), delta=0.05)
+
+    def test_slow_replica_is_nearly_left_out_and_comes_back(self):
+        healths = fresh()
+        for step in range(10):
+            healths["a"].on_reply(step * 50.0, 90.0, 10.0)
+        self.assertLess(share_of(healths, "a", 500.0), 0.05)
+        self.assertGreater(share_of(healths, "a", 20_000.0), 0.25)
+
+    def test_replica_that_rejects_most_calls_is_avoided(self):
+        healths = fresh()
+        source = random.Random(1)
+        for step in range(30):
+            now_ms = step * 100.0
+            if source.random() < 0.6:
+                healths["a"].on_rejection(now_ms)
+            else:
+                healths["a"].on_reply(now_ms, 10.0, 10.0)
+        self.assertLess(share_of(healths, "a", 3_000.0), 0.12)
+
+    def test_busy_replica_gets_less(self):
+        healths = fresh()
+        healths["a"].in_flight = 3
+        self.assertLess(share_of(healths, "a"), 0.06)
+
+    def test_stuck_replica_is_avoided(self):
+        healths = fresh()
+        healths["a"].in_flight = 1
+        healths["a"].oldest_started_at_ms = 0.0
+        healths["a"].replied_at_ms = 100.0
+        self.assertLess(share_of(healths, "a", 120.0), 0.02)
+
+    def test_failing_replica_is_ejected_and_tried_again(self):
+        healths = fresh()
+        for _ in range(3):
+            healths["a"].on_failure(0.0)
+        self.assertEqual(0.0, share_of(healths, "a", 100.0))
+        self.assertFalse(healths["a"].dark(600.0))
+
+    def test_silent_replica_is_dark_until_its_next_trial(self):
+        health = replica_choice.ReplicaHealth()
+        health.tried_at_ms = 0.0
+        health.oldest_started_at_ms = 0.0
+        health.replied_at_ms = -1.0
+        self.assertFalse(health.dark(250.0))
+        self.assertTrue(health.dark(301.0))
+        health.on_given_up(600.0, 0.0)
+        health.oldest_started_at_ms = None
+        health.tried_at_ms = 590.0
+        self.assertTrue(health.dark(700.0))
+        self.assertFalse(health.dark(850.0))
+        health.tried_at_ms = 850.0
+        health.oldest_started_at_ms = 850.0
+        self.assertTrue(health.dark(851.0))
+        health.on_reply(860.0, 10.0, 10.0)
+        self.assertFalse(health.dark(900.0))
+
+    def test_long_calls_of_a_sound_upstream_are_no_silence(self):
+        health = replica_choice.ReplicaHealth()
+        health.on_reply(0.0, 150.0, 150.0)
+        health.oldest_started_at_ms = 1.0
+        self.assertFalse(health.dark(700.0))
+        health.on_given_up(700.0, 1.0)
+        self.assertFalse(health.silent)
+        self.assertTrue(health.dark(752.0))
+
+    def test_dark_replica_is_used_where_no_other_is_left(self):
+        health = replica_choice.ReplicaHealth(ejected_until_ms=500.0)
+        self.assertEqual(1.0, share_of({"a": health}, "a", 100.0))
--- /dev/null
+++ b/packages/policy/tests/test_retry_budget.py
@@ -0,0 +1,52 @@
+"""Tests of the retry budget: the sum over nodes keeps the fleet's bound."""
+
+import random
+import unittest
+
+from godwitflow.policy import retry_budget
+
+LIMITS = retry_budget.RetryLimits(0.2, 58.0, 10_000.0)
+
+
+class RetryBudgetTest(unittest.TestCase):
+    def test_sum_over_uneven_nodes_keeps_the_bound_in_any_window(self):
+        source = random.Random(5)
+        nodes = [retry_budget.RetryBudget(LIMITS) for _ in range(9)]
+        events = []
+        for step in range(4_000):
+            now_ms = step * 10.0
+            for place, node in enumerate(nodes):
+                if source.random() < 0.02 * place:
+                    node.on_request(now_ms)
+                    events.append((now_ms, 1, 0))
+                if source.random() < 0.3 and node.take(now_ms, 9, 0):
+                    events.append((now_ms, 0, 1))
+        for start_ms in range(0, 30_000, 250):
+            requests = extras = 0
+            for at_ms, request, extra in events:
+                if start_ms <= at_ms < start_ms + LIMITS.window_ms:
+                    requests += request
+                    extras += extra
+            bound = LIMITS.ratio * requests + LIMITS.slack
+            self.assertLessEqual(extras, bound, start_ms)
+
+    def test_slack_alone_allows_a_few(self):
+        budget = retry_budget.RetryBudget(LIMITS)
+        taken = sum(budget.take(0.0, 9, 0) for _ in range(50))
+        self.assertGreater(taken, 0)
+        self.assertLessEqual(taken, LIMITS.slack / 9)
+
+    def test_last_quarter_is_kept_for_the_most_urgent(self):
+        budget = retry_budget.RetryBudget(LIMITS)
+        for _ in range(100):
+            budget.on_request(0.0)
+        while budget.take(0.0, 9, 1):
+            pass
+        self.assertTrue(budget.take(0.0, 9, 0))
+
+    def test_old_calls_no_longer_count(self):
+        budget = retry_budget.RetryBudget(LIMITS)
+        while budget.take(0.0, 9, 0):
+            pass
+        self.assertFalse(budget.take(9_000.0, 9, 0))
+        self.assertTrue(budget.take(11_000.0, 9, 0))
--- a/packages/tier/src/godwitflow/tier/dispatcher.py
+++ b/packages/tier/src/godwitflow/tier/dispatcher.py
@@ -89,6 +89,13 @@
             for upstream in self.upstreams
         )
 
+    def doubtful(self, now_ms: float) -> bool:
+        """Tell whether every upstream must prove first that it is back."""
+        return all(
+            upstream.misdirected or upstream.health.doubtful(now_ms)
+            for upstream in self.upstreams
+        )
+
     def drain(self) -> None:
         """Let the most urgent waiting calls take the free places."""
         if self._draining:
@@ -291,11 +298,11 @@
                 upstream.health.on_failure(now_ms)
             case upstreams.Replied():
                 usual_ms = max(0.1, pace.usual.value)
-                upstream.health.on_reply(now_ms, elapsed_ms / usual_ms)
+                upstream.health.on_reply(now_ms, elapsed_ms, usual_ms)
                 pace.usual.record(elapsed_ms)
                 pace.late.record(elapsed_ms)
             case upstreams.Broken(upstreams.Fault.CANCELLED):
-                pass
+                upstream.health.on_given_up(now_ms, now_ms - elapsed_ms)
             case upstreams.Broken():
                 upstream.health.on_failure(now_ms)
 
--- a/packages/tier/src/godwitflow/tier/piece.py
+++ b/packages/tier/src/godwitflow/tier/piece.py
@@ -312,9 +312,7 @@
         self.dispatcher.reactor.callLater(LINGER_MS / 1_000.0, self._cut)
 
     def _cut(self) -> None:
-        """Stop calls that linger: their upstreams do not answer."""
-        now_ms = self.dispatcher.now_ms()
+        """Stop calls that linger."""
         for live in list(self._live.values()):
-            live.upstream.health.on_silence(now_ms)
             if live.connection is not None:
                 live.connection.cancel()
--- a/packages/tier/src/godwitflow/tier/query.py
+++ b/packages/tier/src/godwitflow/tier/query.py
@@ -273,9 +273,24 @@
         ripe = settled or self._past_cutoff or self._rest_is_dark()
         if enough and ripe:
             self._answer_parts()
-        elif (total - self._failed) < self._gather.least_share * total:
+        elif self._hopeful() < self._gather.least_share * total:
             self._give_up()
 
+    def _hopeful(self) -> int:
+        """Return how many shards may be in, in the end.
+
+        Shards that are tried only to see whether they are back count
+        until the cutoff.
+        """
+        hopeful = len(self._gather.shards) - self._failed
+        if not self._past_cutoff:
+            return hopeful
+        now_ms = self.dispatcher.now_ms()
+        return hopeful - sum(
+            piece.result is None and piece.service.doubtful(now_ms)
+            for piece in self._pieces
+        )
+
     def _rest_is_dark(self) -> bool:
         """Tell whether only dark shards are still out."""
         out = len(self._gather.shards) - len(self._parts) - self._failed
@@ -284,10 +299,11 @@
         return all(piece.dark for piece in self._pieces if not piece.result)
 
     def _give_up(self) -> None:
+        total = len(self._gather.shards)
+        text = f"{total - self._hopeful()} of {total} shards cannot be had"
         ran = any(piece.exposed for piece in self._pieces)
         for piece in self._pieces:
             piece.cancel()
-        text = f"{self._failed} shards cannot be had"
         if ran:
             self._refuse(502, text)
         else:
--- a/packages/tier/src/godwitflow/tier/replication.py
+++ b/packages/tier/src/godwitflow/tier/replication.py
@@ -27,6 +27,7 @@
 from godwitflow.wire import messages
 
 WATCH_WAIT_MS = 8_000.0
+FIRST_WATCH_WAIT_MS = 200.0  # soon shows that the store is reached
 SETTLE_MS = 250.0  # lets a burst of changes come as one watch
 BACKOFF_MIN_MS = 150.0
 BACKOFF_MAX_MS = 800.0
@@ -34,6 +35,7 @@
 LAPSE_AFTER_MS = 2_500.0
 ANNOUNCE_EVERY_MS = 300.0
 IDLE_STEP_MS = 100.0
+RANK_KEPT_MS = 500.0
 FETCH_TIMEOUT_MS = 500.0
 FETCH_CONNECTIONS = 4
 MS_PER_S = 1_000.0
@@ -87,6 +89,8 @@
         self._taker = taker
         self._pools: dict[str, pool.Pool] = {}
         self._announced_at_ms = 0.0
+        self._rank = 0
+        self._rank_until_ms = 0.0
         first_ms = now_ms() + first_wait_ms
         self.followers = {
             kind: Follower(self, kind, first_ms) for kind in kinds
@@ -103,8 +107,12 @@
 
     def own_rank(self) -> int:
         """Return this node's place among those that watch the store."""
-        living = [row.node for row in self.mates.living()]
-        return store_watch.rank(self.me, living, "store")
+        now_ms = self.now_ms()
+        if now_ms >= self._rank_until_ms:
+            living = [row.node for row in self.mates.living()]
+            self._rank = store_watch.rank(self.me, living, "store")
+            self._rank_until_ms = now_ms + RANK_KEPT_MS
+        return self._rank
 
     # Telling ------------------------------------------------------------
 
@@ -260,9 +268,8 @@
             await self._list()
             return
         after = self.copy.revision
-        found = await self._replication.store.watch(
-            self._kind, after, WATCH_WAIT_MS
-        )
+        wait_ms = WATCH_WAIT_MS if self.sound else FIRST_WATCH_WAIT_MS
+        found = await self._replication.store.watch(self._kind, after, wait_ms)
         delta = copies.Delta(
             self._kind, after, found.revision, False, found.changes
         )
@@ -314,11 +321,13 @@
             replication.log.event(
                 "store_lost", kind=self._kind, error=str(error)
             )
-        wait_ms = self._backoff_ms * (0.5 + random.random())
-        longest_ms = BACKOFF_MAX_MS
-        if replication.own_rank() >= store_watch.WATCHERS:
+        if replication.own_rank() < store_watch.WATCHERS:
+            longest_ms = BACKOFF_MAX_MS
+        else:
             nodes = len(replication.mates.living())
-            longest_ms = max(longest_ms, BACKOFF_A_NODE_MS * nodes)
+            longest_ms = max(BACKOFF_MAX_MS, BACKOFF_A_NODE_MS * nodes)
+            self._backoff_ms = longest_ms
+        wait_ms = self._backoff_ms * (0.5 + random.random())
         self._backoff_ms = min(longest_ms, 1.6 * self._backoff_ms)
         self._next_try_ms = replication.now_ms() + wait_ms
 
--- /dev/null
+++ b/packages/tier/tests/test_replication.py
@@ -0,0 +1,216 @@
+"""Tests of shared copies: bounds, faults and the number of calls."""
+
+import unittest
+
+import net
+from twisted.internet import task
+
+from godwitflow.model import errors
+from godwitflow.model import ids
+from godwitflow.store import memory_objects
+from godwitflow.tier import replication
+from godwitflow.wire import messages
+
+KIND = "servers"
+APPLY_BOUND_MS = 3_000.0
+STATES = messages.MemberState
+
+
+class Node(replication.Replication):
+    """Replication whose fetches go straight to the other node."""
+
+    def __init__(self, fleet, number):
+        self.fleet = fleet
+        self.name = ids.NodeId(f"n{number}")
+        self.frozen = False
+        self.state = {}
+        super().__init__(
+            fleet.clock,
+            fleet.store.of(self.name),
+            [KIND],
+            self.name,
+            self,
+            self,
+            fleet.now_ms,
+            net.Log(),
+            0.0 if number < 3 else 500.0,
+        )
+
+    def living(self):
+        return self.fleet.rows
+
+    def tell(self, message):
+        for node in self.fleet.nodes:
+            if node is not self and self.fleet.reach(self, node):
+                self.fleet.clock.callLater(
+                    0.001, node.hear, self.name, message
+                )
+
+    def hear(self, inner, message):
+        if not self.frozen:
+            self.on_revisions(inner, message)
+
+    async def fetch(self, inner, kind, after):
+        other = next(node for node in self.fleet.nodes if node.name == inner)
+        await task.deferLater(self.fleet.clock, 0.002)
+        if other.frozen or not self.fleet.reach(self, other):
+            raise errors.StoreUnavailableError("cut")
+        return other.followers[kind].copy.since(after)
+
+    def take(self, kind, news, lapsed):
+        for change in news:
+            if change.removed:
+                self.state.pop(change.object.name, None)
+            else:
+                self.state[change.object.name] = change.object.revision
+
+
+class Fleet:
+    """Nodes with one store, under a virtual clock."""
+
+    def __init__(self, count):
+        self.clock = task.Clock()
+        self.clock.advance(100.0)
+        self.store = memory_objects.MemoryObjects(self.clock)
+        self.store.write(KIND, "a", {})
+        self.reach = lambda origin, target: True
+        self.nodes = []
+        self.rows = [
+            messages.MemberUpdate(
+                f"n{number}", "d", f"n{number}", "", "", 1, STATES.ALIVE
+            )
+            for number in range(count)
+        ]
+        self.nodes = [Node(self, number) for number in range(count)]
+        for node in self.nodes:
+            node.start()
+
+    def now_ms(self):
+        return self.clock.seconds() * 1_000.0
+
+    def run(self, for_ms):
+        for _ in range(int(for_ms / 20.0)):
+            self.clock.advance(0.02)
+            for node in self.nodes:
+                if not node.frozen:
+                    node.tick()
+
+    def watchers(self):
+        return [node for node in self.nodes if node.followers[KIND].sound]
+
+
+class ReplicationTest(unittest.TestCase):
+    def everybody_holds(self, fleet, name):
+        return [name in node.state for node in fleet.nodes]
+
+    def test_change_is_everywhere_within_the_bound(self):
+        fleet = Fleet(9)
+        fleet.run(3_000.0)
+        fleet.store.write(KIND, "b", {})
+        fleet.run(500.0)
+        self.assertTrue(all(self.everybody_holds(fleet, "b")))
+
+    def test_calls_do_not_grow_with_the_fleet(self):
+        calls = {}
+        for count in (9, 64, 200):
+            fleet = Fleet(count)
+            fleet.run(3_000.0)
+            before = fleet.store.calls
+            fleet.run(16_000.0)
+            calls[count] = fleet.store.calls - before
+        self.assertLessEqual(calls[200], calls[9] * 1.1)
+        self.assertLessEqual(calls[9], 9)
+
+    def test_bound_holds_when_the_watchers_freeze_or_are_refused(self):
+        for fault in ("freeze", "refuse", "both"):
+            fleet = Fleet(9)
+            fleet.run(3_000.0)
+            lost = {node.name for node in fleet.watchers()}
+            self.assertEqual(3, len(lost))
+            if fault in ("refuse", "both"):
+                fleet.store.refuse = lambda caller: caller in lost
+            if fault in ("freeze", "both"):
+                for node in fleet.watchers():
+                    node.frozen = True
+            fleet.run(100.0)
+            fleet.store.write(KIND, "b", {})
+            fleet.run(APPLY_BOUND_MS)
+            holds = [
+                "b" in node.state for node in fleet.nodes if not node.frozen
+            ]
+            self.assertTrue(all(holds), fault)
+
+    def test_refused_nodes_follow_through_their_peers(self):
+        fleet = Fleet(9)
+        refused = {f"n{number}" for number in (0, 4, 8)}
+        fleet.store.refuse = lambda caller: caller in refused
+        fleet.run(4_000.0)
+        fleet.store.write(KIND, "b", {})
+        fleet.run(APPLY_BOUND_MS)
+        self.assertTrue(all(self.everybody_holds(fleet, "b")))
+
+    def test_node_that_hears_no_peer_follows_the_store(self):
+        fleet = Fleet(9)
+        fleet.run(3_000.0)
+        alone = next(
+            node for node in fleet.nodes if node not in fleet.watchers()
+        )
+        fleet.reach = lambda origin, target: alone not in (origin, target)
+        fleet.run(2_000.0)
+        fleet.store.write(KIND, "b", {})
+        fleet.run(APPLY_BOUND_MS)
+        self.assertIn("b", alone.state)
+
+    def test_dropped_history_is_listed_anew(self):
+        fleet = Fleet(9)
+        fleet.run(3_000.0)
+        fleet.store.refuse = lambda caller: True
+        fleet.run(3_000.0)
+        fleet.store.remove(KIND, "a")
+        fleet.store.write(KIND, "b", {})
+        fleet.store.forget()
+        fleet.store.refuse = lambda caller: False
+        fleet.run(APPLY_BOUND_MS)
+        for node in fleet.nodes:
+            self.assertEqual(["b"], list(node.state))
+
+    def test_no_node_goes_back(self):
+        fleet = Fleet(9)
+        fleet.run(2_000.0)
+        last = {node.name: 0 for node in fleet.nodes}
+        for step in range(100):
+            fleet.store.write(KIND, "a", {"step": step})
+            if step % 30 == 10:
+                fleet.nodes[step % 9].frozen = True
+            if step % 30 == 20:
+                for node in fleet.nodes:
+                    node.frozen = False
+            fleet.run(60.0)
+            for node in fleet.nodes:
+                revision = node.followers[KIND].copy.revision
+                self.assertGreaterEqual(revision, last[node.name])
+                last[node.name] = revision
+
+    def test_outage_costs_few_calls(self):
+        fleet = Fleet(64)
+        fleet.run(3_000.0)
+        fleet.store.refuse = lambda caller: True
+        before = fleet.store.calls
+        fleet.run(5_000.0)
+        self.assertLess(fleet.store.calls - before, 120)
+
+    def test_removals_after_an_outage_are_marked_as_lapses(self):
+        fleet = Fleet(3)
+        fleet.run(2_000.0)
+        marks = []
+        fleet.nodes[0].take = lambda kind, news, lapsed: marks.append(lapsed)
+        fleet.store.remove(KIND, "a")
+        fleet.run(1_000.0)
+        fleet.store.refuse = lambda caller: True
+        fleet.store.write(KIND, "c", {})
+        fleet.run(4_000.0)
+        fleet.store.remove(KIND, "c")
+        fleet.store.refuse = lambda caller: False
+        fleet.run(2_000.0)
+        self.assertFalse(marks[0])
+        self.assertTrue(marks[-1])
