Refuse requests that crash every upstream which runs them

Cause: nothing kept one such request, which comes again at any node, from taking an upstream down at each attempt. A call whose place was taken by another between choice and start was never sent.

Ruled out: counting each broken connection (a reset link would condemn sound requests): a strike is a run with crashes and no good answer, and a request needs two of them and three crashes.

Change: policy/strikes, told to all members; refused with 503 before it runs. The call of a lost place waits for the next.

--- /dev/null
+++ b/packages/policy/src/godwitflow/policy/strikes.py
@@ -0,0 +1,77 @@
+"""Requests that crash every upstream that begins to run them.
+
+Answers the load of one request that comes again and again, at any node,
+and takes an upstream down each time. A strike is a run of a request in
+which upstreams broke off and none answered well; nodes tell each other
+of strikes. After a few a request is refused before it runs.
+"""
+
+import dataclasses
+import hashlib
+
+from godwitflow.model import ids
+
+MIN_RUNS = 2  # one run alone may have met a broken link
+MIN_CRASHES = 3
+KEPT_MS = 600_000.0
+MAX_ENTRIES = 10_000
+
+
+@dataclasses.dataclass(slots=True)
+class _Record:
+    runs: int = 0
+    crashes: int = 0
+    last_at_ms: float = 0.0
+
+
+class Strikes:
+    """Counts strikes by request and says which must not run again."""
+
+    def __init__(self) -> None:
+        self._records: dict[ids.Fingerprint, _Record] = {}
+
+    @property
+    def any(self) -> bool:
+        """Whether any request has a strike."""
+        return bool(self._records)
+
+    def add(
+        self, fingerprint: ids.Fingerprint, crashes: int, now_ms: float
+    ) -> None:
+        """Count a strike, this node's own or one that a peer tells of."""
+        record = self._records.pop(fingerprint, None) or _Record()
+        record.runs += 1
+        record.crashes += crashes
+        record.last_at_ms = now_ms
+        self._records[fingerprint] = record
+        if len(self._records) > MAX_ENTRIES:
+            del self._records[next(iter(self._records))]
+
+    def clear(self, fingerprint: ids.Fingerprint) -> None:
+        """Forget the strikes of a request that ran well."""
+        self._records.pop(fingerprint, None)
+
+    def condemned(self, fingerprint: ids.Fingerprint, now_ms: float) -> bool:
+        """Tell whether a request must be refused before it runs."""
+        record = self._records.get(fingerprint)
+        if record is None:
+            return False
+        if now_ms - record.last_at_ms > KEPT_MS:
+            del self._records[fingerprint]
+            return False
+        return record.runs >= MIN_RUNS and record.crashes >= MIN_CRASHES
+
+
+def fingerprint(
+    method: bytes, target: bytes, body: bytes | None
+) -> ids.Fingerprint:
+    """Return a 64-bit fingerprint of what a request asks for.
+
+    >>> fingerprint(b"GET", b"/a", None) == fingerprint(b"GET", b"/b", None)
+    False
+    """
+    digest = hashlib.blake2b(digest_size=8)
+    for part in (method, target, body or b""):
+        digest.update(b"%d:" % len(part))
+        digest.update(part)
+    return ids.Fingerprint(int.from_bytes(digest.digest()))
--- a/packages/tier/src/godwitflow/tier/dispatcher.py
+++ b/packages/tier/src/godwitflow/tier/dispatcher.py
@@ -17,6 +17,7 @@
 from godwitflow.policy import replica_choice
 from godwitflow.policy import retry_budget
 from godwitflow.policy import routing
+from godwitflow.policy import strikes
 from godwitflow.tier import headers
 from godwitflow.tier import log as logs
 from godwitflow.tier import metrics
@@ -146,6 +147,10 @@
         self.now_ms = now_ms
         self.names = names
         self.nodes = 1
+        self.strikes = strikes.Strikes()
+        self.on_strike: typing.Callable[[ids.Fingerprint, int], None] = (
+            _ignore_strike
+        )
         self.random = random.Random(seed)
         self._failure_domain = failure_domain
         self._limits = limits
@@ -293,6 +298,20 @@
         """Return a key for a call under way."""
         return next(self._keys)
 
+    def note_strike(
+        self, work: "pieces.Work", mark: ids.Fingerprint, crashes: int
+    ) -> None:
+        """Count, log and tell of a run in which only crashes were met."""
+        self.strikes.add(mark, crashes, self.now_ms())
+        self.metrics.count("strikes")
+        self.log.decision(
+            "strike",
+            request=work.request_text,
+            fingerprint=f"{mark:016x}",
+            crashes=crashes,
+        )
+        self.on_strike(mark, crashes)
+
     def note_repeat(
         self, work: "pieces.Work", service: ids.ServiceName, why: str
     ) -> None:
@@ -358,6 +377,10 @@
                 upstream.health.on_failure(now_ms)
 
 
+def _ignore_strike(mark: ids.Fingerprint, crashes: int) -> None:
+    """Tell nobody; a node puts its peers in place of this."""
+
+
 def _another(
     entry: registrations.Registration, known: registrations.Registration
 ) -> bool:
--- a/packages/tier/src/godwitflow/tier/front.py
+++ b/packages/tier/src/godwitflow/tier/front.py
@@ -9,12 +9,14 @@
 from godwitflow.http1 import messages
 from godwitflow.model import ids
 from godwitflow.policy import routing
+from godwitflow.policy import strikes
 from godwitflow.tier import dispatcher as dispatching
 from godwitflow.tier import log as logs
 from godwitflow.tier import piece as pieces
 from godwitflow.tier import query
 
 UNREADY_RETRY_S = 0.3
+CONDEMNED_RETRY_S = 30.0
 MAX_CALLER_DEADLINE_MS = 3_600_000.0
 
 
@@ -98,6 +100,9 @@
             return
         version = self.table.configuration.version
         work = self._work(request, route, version)
+        if self._condemned(request):
+            self._refuse_condemned(exchange, work)
+            return
         match route.target:
             case routing.Gather() as gather:
                 query.GatherRun(
@@ -109,6 +114,31 @@
             case routing.Single(service):
                 self._single(exchange, work, service)
 
+    def _condemned(self, request: messages.Request) -> bool:
+        if not self.dispatcher.strikes.any:
+            return False
+        mark = strikes.fingerprint(
+            request.method, request.target, request.body
+        )
+        now_ms = self.dispatcher.now_ms()
+        return self.dispatcher.strikes.condemned(mark, now_ms)
+
+    def _refuse_condemned(
+        self, exchange: callers.Exchange, work: pieces.Work
+    ) -> None:
+        self.log.decision(
+            "refused",
+            request=work.request_text,
+            route=work.route.name,
+            status=503,
+            reason="the request crashes its upstreams",
+        )
+        exchange.answer(
+            messages.own_response(
+                503, "the request crashes its upstreams", CONDEMNED_RETRY_S
+            )
+        )
+
     def _single(
         self,
         exchange: callers.Exchange,
--- a/packages/tier/src/godwitflow/tier/log.py
+++ b/packages/tier/src/godwitflow/tier/log.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-LINES_A_SECOND = 40.0
+LINES_A_SECOND = 25.0
 BURST_LINES = 200.0
 PENDING_BYTES = 65_536
 MS_PER_S = 1_000.0
--- a/packages/tier/src/godwitflow/tier/node.py
+++ b/packages/tier/src/godwitflow/tier/node.py
@@ -14,6 +14,7 @@
 from godwitflow.http1 import callers
 from godwitflow.http1 import messages as http_messages
 from godwitflow.model import errors
+from godwitflow.model import ids
 from godwitflow.policy import registrations
 from godwitflow.policy import routing
 from godwitflow.store import objects
@@ -89,6 +90,7 @@
             self.metrics,
             seed,
         )
+        self.dispatcher.on_strike = self._tell_strike
         self.front = fronts.Front(self.dispatcher, log, seed)
         self.mirror = mirrors.Mirror(
             reactor,
@@ -115,6 +117,7 @@
             self._on_members,
             self._on_revisions,
             self._revisions,
+            self._on_suspicions,
             seed,
         )
         self.replication = replicating.Replication(
@@ -288,6 +291,17 @@
     def _revisions(self) -> messages.Revisions:
         return self.replication.revisions()
 
+    def _tell_strike(self, mark: ids.Fingerprint, crashes: int) -> None:
+        entry = messages.Suspicion(mark, crashes, 0.0)
+        self.peers.tell(messages.Suspicions((entry,)))
+
+    def _on_suspicions(self, message: messages.Suspicions) -> None:
+        now_ms = self._now_ms()
+        for entry in message.entries:
+            self.dispatcher.strikes.add(
+                entry.fingerprint, entry.crashes, now_ms
+            )
+
     def _on_members(self) -> None:
         self.dispatcher.apply_nodes(self.peers.node_count())
 
--- a/packages/tier/src/godwitflow/tier/peers.py
+++ b/packages/tier/src/godwitflow/tier/peers.py
@@ -36,6 +36,7 @@
         on_change: typing.Callable[[], None],
         on_revisions: typing.Callable[[str, messages.Revisions], None],
         revisions: typing.Callable[[], messages.Revisions],
+        on_suspicions: typing.Callable[[messages.Suspicions], None],
         seed: int,
     ) -> None:
         self.table = membership.Membership(me, seed)
@@ -46,6 +47,7 @@
         self._on_change = on_change
         self._on_revisions = on_revisions
         self._revisions = revisions
+        self._on_suspicions = on_suspicions
         self._next_seed_ms = 0.0
         self._nodes_logged = 0
 
@@ -136,6 +138,8 @@
                 self._send(header.inner, [self._revisions()])
             case messages.Revisions():
                 self._on_revisions(header.inner, message)
+            case messages.Suspicions():
+                self._on_suspicions(message)
             case messages.MembersPush():
                 self.table.merge(now_ms, message.updates)
             case _:
--- a/packages/tier/src/godwitflow/tier/piece.py
+++ b/packages/tier/src/godwitflow/tier/piece.py
@@ -104,6 +104,7 @@
         self.service = dispatcher.service(service)
         self.result: Result | None = None
         self.sends = 0
+        self.crashes = 0
         self.may_have_run = False
         self.waiting = False
         self._wanted = wanted
@@ -167,8 +168,18 @@
         self.sends += 1
         upstream.note_start(key, now_ms)
         live.connection = upstream.pool.start(call)
+        if live.connection is None:
+            self._withdraw(key, upstream)
+            return False
         return True
 
+    def _withdraw(self, key: int, upstream: dispatching.Upstream) -> None:
+        """Undo a start whose place was taken by another call meanwhile."""
+        del self._live[key]
+        self._used.discard(upstream.registration.upstream)
+        self.sends -= 1
+        upstream.note_end(key)
+
     def _bytes(self, upstream: dispatching.Upstream, now_ms: float) -> bytes:
         names = self.dispatcher.names
         left_ms = max(1, int(self.work.deadline_at_ms - now_ms))
@@ -238,7 +249,9 @@
             case upstreams.Replied(response):
                 self.may_have_run = True
                 self._take_response(live, response)
-            case upstreams.Broken(_, sent):
+            case upstreams.Broken(fault, sent):
+                if sent and fault is upstreams.Fault.CONNECTION_LOST:
+                    self.crashes += 1
                 self.may_have_run = self.may_have_run or sent
                 self._lack = Lack.FAILED
                 self._again(arrived=sent)
--- a/packages/tier/src/godwitflow/tier/query.py
+++ b/packages/tier/src/godwitflow/tier/query.py
@@ -13,6 +13,7 @@
 from godwitflow.http1 import messages
 from godwitflow.model import ids
 from godwitflow.policy import routing
+from godwitflow.policy import strikes
 from godwitflow.tier import dispatcher as dispatching
 from godwitflow.tier import log as logs
 from godwitflow.tier import piece as pieces
@@ -70,6 +71,7 @@
     def _answer(self, response: messages.Response) -> None:
         self.done = True
         self._stop_timer()
+        self._note_crashes()
         figures = self.dispatcher.metrics
         figures.count("answers", status=str(response.status))
         route = self.work.route
@@ -80,10 +82,32 @@
     def _on_gone(self) -> None:
         raise NotImplementedError
 
+    def _crashes(self) -> int:
+        """Return the upstreams that broke off, 0 if any answered well."""
+        raise NotImplementedError
+
+    def _note_crashes(self) -> None:
+        crashes = self._crashes()
+        strikes_seen = self.dispatcher.strikes
+        if not crashes and not strikes_seen.any:
+            return
+        request = self.exchange.request
+        mark = strikes.fingerprint(
+            request.method, request.target, request.body
+        )
+        if crashes:
+            self.dispatcher.note_strike(self.work, mark, crashes)
+        elif self._ran_well():
+            strikes_seen.clear(mark)
+
+    def _ran_well(self) -> bool:
+        raise NotImplementedError
+
     def _note_gone(self) -> None:
         """End without an answer, as the caller has left."""
         self.done = True
         self._stop_timer()
+        self._note_crashes()
         self.dispatcher.metrics.count("callers_gone")
         elapsed_ms = self.dispatcher.now_ms() - self.work.received_at_ms
         self.log.decision(
@@ -135,6 +159,12 @@
         else:
             self._at(self._final_at_ms(), self._on_final)
 
+    def _crashes(self) -> int:
+        return 0 if self._ran_well() else self._piece.crashes
+
+    def _ran_well(self) -> bool:
+        return isinstance(self._piece.result, pieces.Got)
+
     def _final_at_ms(self) -> float:
         return self.work.deadline_at_ms - FINAL_MARGIN_MS
 
@@ -240,6 +270,14 @@
             and not _encoded(response)
         )
 
+    def _crashes(self) -> int:
+        if self._ran_well():
+            return 0
+        return sum(piece.crashes for piece in self._pieces)
+
+    def _ran_well(self) -> bool:
+        return bool(self._parts)
+
     # Time ---------------------------------------------------------------
 
     def _cutoff_at_ms(self) -> float:
--- a/packages/tier/tests/test_query.py
+++ b/packages/tier/tests/test_query.py
@@ -9,6 +9,7 @@
 import net
 
 from godwitflow.model import ids
+from godwitflow.policy import strikes
 from godwitflow.tier import query
 
 Mode = net.Mode
@@ -150,6 +151,16 @@
             self.assertEqual(200, world.ask(b"/one/").response.status)
         self.assertEqual([], leaving.runs)
 
+    def test_call_whose_place_was_taken_waits_for_the_next(self):
+        world = net.World(replicas=1)
+        place = world.dispatcher.service("one").upstreams[0].pool
+        real, place.start = place.start, lambda call: None
+        caller, _ = world.send(b"/one/")
+        place.start = real
+        world.dispatcher.service("one").drain()
+        world.run(50.0)
+        self.assertEqual(200, caller.response.status)
+
     def test_calls_wait_for_a_place_most_urgent_first(self):
         world = net.World(replicas=1)
         world.dispatcher.apply_nodes(26)
@@ -169,6 +180,40 @@
         self.assertIs(urgent, order[1])
 
 
+class StrikesTest(unittest.TestCase):
+    def test_request_that_crashes_upstreams_is_refused_before_it_runs(self):
+        for target, services in ((b"/one/bad", ["one"]), (b"/all/bad", None)):
+            world = net.World(shards=4)
+            services = services or [f"s{number}" for number in range(4)]
+            told = []
+            world.dispatcher.on_strike = lambda *strike: told.append(strike)
+            for service in services:
+                all_of(world, service, mode=Mode.RESET)
+            for _ in range(4):
+                caller = world.ask(target)
+            before = sum(runs(world, service) for service in services)
+            for _ in range(5):
+                caller = world.ask(target)
+                self.assertEqual(503, caller.response.status)
+            after = sum(runs(world, service) for service in services)
+            self.assertEqual(before, after)
+            self.assertGreaterEqual(len(told), 2)
+            for service in services:
+                all_of(world, service, mode=Mode.SOUND)
+            world.run(1_500.0)
+            other = target.replace(b"bad", b"good")
+            self.assertEqual(200, world.ask(other).response.status)
+
+    def test_strikes_of_peers_count(self):
+        world = net.World()
+        mark = strikes.fingerprint(b"GET", b"/one/bad", None)
+        for _ in range(2):
+            world.dispatcher.strikes.add(mark, 2, world.net.now_ms())
+        caller = world.ask(b"/one/bad")
+        self.assertEqual(503, caller.response.status)
+        self.assertEqual(0, runs(world, "one"))
+
+
 class GatherRunTest(unittest.TestCase):
     def test_whole_answer_names_every_part_and_the_greatest_records(self):
         world = net.World(shards=4)
