Fit the connections of two lives under an upstream's cap

The log said only that calls failed, not where.

Ruled out: crashes (the upstreams stayed up), the store.

Change: a node uses half its connections for 5 s after its start. A call that brought no good response has a line with its upstream and outcome. docs/operators.md is docs/OPERATIONS.md now.

--- a/packages/model/src/godwitflow/model/answers.py
+++ b/packages/model/src/godwitflow/model/answers.py
@@ -16,7 +16,7 @@
 
 
 class RefusalCode(enum.Enum):
-    """Stable reasons of a refusal; docs/operators.md explains each."""
+    """Stable reasons of a refusal; docs/OPERATIONS.md explains each."""
 
     BAD_REQUEST = "bad_request"
     UNKNOWN_SERVICE = "unknown_service"
--- a/packages/tier/src/godwitflow/tier/dispatcher.py
+++ b/packages/tier/src/godwitflow/tier/dispatcher.py
@@ -147,6 +147,7 @@
         self.now_ms = now_ms
         self.names = names
         self.nodes = 1
+        self._lives = 1
         self.strikes = strikes.Strikes()
         self.on_strike: typing.Callable[[ids.Fingerprint, int], None] = (
             _ignore_strike
@@ -176,6 +177,18 @@
             self.nodes = max(1, nodes)
             self._set_limits()
 
+    def apply_recent_start(self, recent: bool) -> None:
+        """Halve this node's connections for a while after its start.
+
+        Upstreams may still count those of the life before, which lost
+        power, and reset what goes beyond their cap.
+        """
+        self._lives = 2 if recent else 1
+        self._set_limits()
+
+    def _limit(self, service: Service) -> int:
+        return max(1, service.cap // (self.nodes * self._lives))
+
     def apply_retry_limits(self, limits: retry_budget.RetryLimits) -> None:
         """Take the fleet's bound on repeated calls."""
         self._limits = limits
@@ -184,9 +197,8 @@
 
     def _set_limits(self) -> None:
         for service in self._services.values():
-            limit = max(1, service.cap // self.nodes)
             for upstream in service.upstreams:
-                upstream.pool.limit = limit
+                upstream.pool.limit = self._limit(service)
 
     def apply_registrations(
         self, ready: list[registrations.Registration], now_ms: float
@@ -219,7 +231,7 @@
         places = pool.Pool(
             self.reactor,
             entry.address,
-            max(1, service.cap // self.nodes),
+            self._limit(service),
             self.names.request_id,
             self.now_ms,
             service.drain,
--- a/packages/tier/src/godwitflow/tier/node.py
+++ b/packages/tier/src/godwitflow/tier/node.py
@@ -33,6 +33,7 @@
 MEMBER_KIND = "members"
 MEMBER_RETRY_S = 2.0
 LONELY_AFTER_S = 0.4
+RECENT_START_S = 5.0
 FIRST_START_WAIT_MS = 1_500.0
 RESTART_WAIT_MS = 120.0
 ENLIST_AFTER_S = 10.0
@@ -161,6 +162,10 @@
         self._every(peering.TICK_S, self.peers.tick)
         self._every(peering.TICK_S, self.replication.tick)
         self._every(SWEEP_S, self._sweep)
+        self.dispatcher.apply_recent_start(True)
+        self._reactor.callLater(
+            RECENT_START_S, self.dispatcher.apply_recent_start, False
+        )
         self.replication.start()
         self.peers.tick()
         defer.ensureDeferred(self._join())
--- a/packages/tier/src/godwitflow/tier/piece.py
+++ b/packages/tier/src/godwitflow/tier/piece.py
@@ -245,6 +245,7 @@
         )
         if self.result is not None:
             return
+        self._log_bad(live, elapsed_ms, outcome)
         match outcome:
             case upstreams.Replied(response) if rejected:
                 self._lack = Lack.REJECTED
@@ -259,6 +260,28 @@
                 self._lack = Lack.FAILED
                 self._again(arrived=sent)
 
+    def _log_bad(
+        self, live: _Live, elapsed_ms: float, outcome: upstreams.Outcome
+    ) -> None:
+        """Log a call that brought no good response."""
+        match outcome:
+            case upstreams.Replied(response) if self._wanted(response):
+                if not self._rejected(outcome):
+                    return
+                what = f"status {response.status}"
+            case upstreams.Replied(response):
+                what = f"status {response.status}"
+            case upstreams.Broken(fault, _):
+                what = fault.value
+        self.dispatcher.log.decision(
+            "call_failed",
+            request=self.work.request_text,
+            service=self.service.name,
+            upstream=live.upstream.registration.upstream,
+            outcome=what,
+            elapsed_ms=round(elapsed_ms, 1),
+        )
+
     def _rejected(self, outcome: upstreams.Outcome) -> bool:
         match outcome:
             case upstreams.Replied(response):
--- a/packages/tier/tests/test_query.py
+++ b/packages/tier/tests/test_query.py
@@ -118,6 +118,18 @@
         all_of(world, "one", mode=Mode.ENCODED)
         self.assertEqual(502, world.ask(b"/one/").response.status)
 
+    def test_log_leads_from_a_request_to_the_upstream_at_fault(self):
+        world = net.World(replicas=1)
+        all_of(world, "one", mode=Mode.RESET)
+        world.ask(b"/once/")
+        lines = {event: fields for event, fields in world.log.lines}
+        self.assertEqual("one-0", lines["call_failed"]["upstream"])
+        self.assertEqual("connection_lost", lines["call_failed"]["outcome"])
+        self.assertEqual(502, lines["refused"]["status"])
+        self.assertEqual(
+            lines["call_failed"]["request"], lines["refused"]["request"]
+        )
+
     def test_no_request_is_held_past_its_routes_timeout(self):
         world = net.World(timeout_ms=300.0)
         all_of(world, "one", mode=Mode.SILENT)
@@ -161,6 +173,17 @@
         world.run(50.0)
         self.assertEqual(200, caller.response.status)
 
+    def test_connections_of_two_lives_fit_the_cap(self):
+        world = net.World(replicas=1)
+        world.dispatcher.apply_nodes(9)
+        place = world.dispatcher.service("one").upstreams[0].pool
+        before = place.limit
+        world.dispatcher.apply_recent_start(True)
+        self.assertLessEqual(9 * place.limit, 26 // 2)
+        self.assertGreaterEqual(place.limit, 1)
+        world.dispatcher.apply_recent_start(False)
+        self.assertEqual(before, place.limit)
+
     def test_calls_wait_for_a_place_most_urgent_first(self):
         world = net.World(replicas=1)
         world.dispatcher.apply_nodes(26)
