Pass on no success that no upstream has signed

Cause: a last reading found that a single request's 2xx without the upstream's signature was passed on as it came (only parts of a query were checked). Ruled out: failures, which may come without one.

Change: such a response counts as a failed call; where no other is left the caller gets 502. The test fails with the old rule (200 in place of 502).

--- a/packages/tier/src/godwitflow/tier/query.py
+++ b/packages/tier/src/godwitflow/tier/query.py
@@ -30,10 +30,6 @@
 SUCCESS = range(200, 300)
 
 
-def _good_single(response: messages.Response) -> bool:
-    return response.status < 500 and not _encoded(response)
-
-
 def _encoded(response: messages.Response) -> bool:
     coding = messages.find(response.headers, b"content-encoding")
     return coding is not None and coding.lower() != b"identity"
@@ -143,7 +139,7 @@
             self.dispatcher,
             self.work,
             service,
-            _good_single,
+            self._good,
             self._on_result,
         )
         self._piece.start()
@@ -159,6 +155,17 @@
         else:
             self._at(self._final_at_ms(), self._on_final)
 
+    def _good(self, response: messages.Response) -> bool:
+        return response.status < 500 and self._proven(response)
+
+    def _proven(self, response: messages.Response) -> bool:
+        """Tell whether a response is whole and signed, if a success."""
+        if _encoded(response):
+            return False
+        signature = self.dispatcher.names.signature
+        signed = messages.find(response.headers, signature) is not None
+        return signed or response.status not in SUCCESS
+
     def _crashes(self) -> int:
         return 0 if self._ran_well() else self._piece.crashes
 
@@ -182,7 +189,7 @@
 
     def _on_result(self, piece: pieces.Piece, result: pieces.Result) -> None:
         match result:
-            case pieces.Got(response, _) if _encoded(response):
+            case pieces.Got(response, _) if not self._proven(response):
                 self._refuse(502, "the upstream's answer was malformed")
             case pieces.Got(response, _):
                 headers = messages.end_to_end(response.headers)
--- a/packages/tier/tests/net.py
+++ b/packages/tier/tests/net.py
@@ -49,6 +49,7 @@
     STALE = "stale"
     ENCODED = "encoded"
     MISDIRECTED = "misdirected"
+    UNSIGNED = "unsigned"
 
 
 @dataclasses.dataclass
@@ -132,6 +133,8 @@
             case Mode.ENCODED:
                 coded = [*sign, (b"Content-Encoding", b"gzip")]
                 self._reply(wait_s, 200, coded, upstream.body)
+            case Mode.UNSIGNED:
+                self._reply(wait_s, 200, sign[:1], upstream.body)
             case Mode.STALE:
                 old = [(b"X-Id", b"old"), (b"X-Sign", b"forged")]
                 self._reply(wait_s / 2, 200, old, b"old" * 16)
--- a/packages/tier/tests/test_query.py
+++ b/packages/tier/tests/test_query.py
@@ -118,6 +118,16 @@
         all_of(world, "one", mode=Mode.ENCODED)
         self.assertEqual(502, world.ask(b"/one/").response.status)
 
+    def test_success_without_a_signature_is_no_answer(self):
+        for target in (b"/one/", b"/once/"):
+            world = net.World()
+            all_of(world, "one", mode=Mode.UNSIGNED)
+            self.assertEqual(502, world.ask(target).response.status)
+        world = net.World()
+        world.services["one"][0].mode = Mode.UNSIGNED
+        for _ in range(10):
+            self.assertEqual(200, world.ask(b"/one/").response.status)
+
     def test_log_leads_from_a_request_to_the_upstream_at_fault(self):
         world = net.World(replicas=1)
         all_of(world, "one", mode=Mode.RESET)
