--- a/packages/http1/src/godwitflow/http1/callers.py
+++ b/packages/http1/src/godwitflow/http1/callers.py
@@ -101,6 +101,7 @@
         self.since_ms = server.now_ms()
         self._parser: typing.Any = httptools.HttpRequestParser(self)
         self._queue: list[messages.Request] = []
+        self._fresh = True
         self._exchange: Exchange | None = None
         self._failure: messages.Response | None = None
         self._reset_message()
@@ -218,7 +219,9 @@
             body,
             self._parser.should_keep_alive(),
             self.server.now_ms(),
+            self._fresh,
         )
+        self._fresh = False
         self._reset_message()
         self._queue.append(request)
         if len(self._queue) >= QUEUED_REQUESTS:
--- a/packages/http1/src/godwitflow/http1/messages.py
+++ b/packages/http1/src/godwitflow/http1/messages.py
@@ -41,7 +41,8 @@
     """A whole request of a caller.
 
     ``target`` is the path with its query, unchanged. ``body`` is None
-    where the caller sent neither a length nor chunks.
+    where the caller sent neither a length nor chunks. The first request
+    on a connection has cost its caller the set-up of that connection.
     """
 
     method: bytes
@@ -50,6 +51,7 @@
     body: bytes | None
     keep_alive: bool
     received_at_ms: float
+    first_on_connection: bool = False
 
     @property
     def path(self) -> bytes:
--- a/packages/http1/tests/test_callers.py
+++ b/packages/http1/tests/test_callers.py
@@ -68,6 +68,15 @@
 
 
 class CallerConnectionTest(unittest.TestCase):
+    def test_only_the_first_request_is_first_on_its_connection(self):
+        server = Server()
+        connection = connect(server)
+        for number in range(3):
+            connection.dataReceived(GET)
+            exchange = server.exchanges[number]
+            self.assertEqual(number == 0, exchange.request.first_on_connection)
+            exchange.answer(messages.own_response(200, "ok"))
+
     def test_request_is_kept_to_the_byte(self):
         requests, _ = seen(GET + POST + CHUNKED, [])
         self.assertEqual(
--- a/packages/policy/src/godwitflow/policy/retry_budget.py
+++ b/packages/policy/src/godwitflow/policy/retry_budget.py
@@ -16,6 +16,7 @@
 RATIO_USED = 0.9  # room for requests that move between windows
 SLACK_USED = 0.8
 URGENT_SHARE = 0.25
+AMPLE_SHARE = 0.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -54,16 +55,22 @@
         The last quarter is kept for the most urgent rank.
         """
         bucket = self._bucket(now_ms)
-        room = self.limits.ratio * RATIO_USED * self._requests
-        room += self.limits.slack * SLACK_USED / max(1, nodes)
-        if rank > 0:
-            room *= 1.0 - URGENT_SHARE
-        if self._extras + 1 > room:
+        if self._extras + 1 > self._room(nodes, rank):
             return False
         bucket.extras += 1
         self._extras += 1
         return True
 
+    def ample(self, now_ms: float, nodes: int, rank: ids.Rank) -> bool:
+        """Tell whether much of the budget is left for a rank."""
+        self._bucket(now_ms)
+        return self._extras < AMPLE_SHARE * self._room(nodes, rank)
+
+    def _room(self, nodes: int, rank: ids.Rank) -> float:
+        room = self.limits.ratio * RATIO_USED * self._requests
+        room += self.limits.slack * SLACK_USED / max(1, nodes)
+        return room if rank == 0 else room * (1.0 - URGENT_SHARE)
+
     def _bucket(self, now_ms: float) -> _Bucket:
         width_ms = self.limits.window_ms / BUCKETS
         number = int(now_ms // width_ms)
--- /dev/null
+++ b/packages/policy/tests/test_gather_times.py
@@ -0,0 +1,44 @@
+"""Tests of the moments at which a query hedges, answers and gives up."""
+
+import doctest
+import unittest
+
+from godwitflow.policy import gather_times
+
+
+def plan(late_ms=20.0, target_ms=100.0, deadline_ms=1_500.0, new=False):
+    return gather_times.plan(0.0, deadline_ms, target_ms, late_ms, new)
+
+
+class GatherTimesTest(unittest.TestCase):
+    def test_moments_follow_each_other(self):
+        for late_ms in (0.1, 5.0, 20.0, 44.0, 300.0):
+            for target_ms in (50.0, 118.0, 1_500.0):
+                for new in (False, True):
+                    times = plan(late_ms, target_ms, new=new)
+                    self.assertLess(0.0, times.first_hedge_at_ms)
+                    self.assertLessEqual(
+                        times.first_hedge_at_ms, times.last_hedge_at_ms
+                    )
+                    self.assertLess(times.cutoff_at_ms, target_ms)
+                    self.assertLess(times.cutoff_at_ms, times.final_at_ms)
+
+    def test_caller_that_set_up_its_connection_is_answered_sooner(self):
+        known, new = plan(), plan(new=True)
+        self.assertLess(new.cutoff_at_ms, known.cutoff_at_ms)
+
+    def test_last_hedge_leaves_time_for_the_second_call(self):
+        times = plan(late_ms=15.0)
+        left_ms = times.cutoff_at_ms - times.last_hedge_at_ms
+        self.assertGreaterEqual(left_ms, 15.0)
+
+    def test_deadline_before_the_target_is_kept(self):
+        times = plan(deadline_ms=60.0)
+        self.assertLessEqual(times.cutoff_at_ms, times.final_at_ms)
+        self.assertLess(times.final_at_ms, 60.0)
+
+
+def load_tests(loader, tests, pattern):
+    """Add the examples of the module."""
+    tests.addTests(doctest.DocTestSuite(gather_times))
+    return tests
--- a/packages/policy/tests/test_retry_budget.py
+++ b/packages/policy/tests/test_retry_budget.py
@@ -50,3 +50,26 @@
             pass
         self.assertFalse(budget.take(9_000.0, 9, 0))
         self.assertTrue(budget.take(11_000.0, 9, 0))
+
+
+class AmpleTest(unittest.TestCase):
+    def test_budget_is_ample_until_half_of_it_is_used(self):
+        budget = retry_budget.RetryBudget(LIMITS)
+        for _ in range(100):
+            budget.on_request(0.0)
+        taken = 0
+        while budget.ample(0.0, 9, 1):
+            self.assertTrue(budget.take(0.0, 9, 1))
+            taken += 1
+        left = 0
+        while budget.take(0.0, 9, 1):
+            left += 1
+        self.assertGreater(left, 0)
+        self.assertLessEqual(left, taken)
+
+    def test_budget_is_ample_again_after_its_window(self):
+        budget = retry_budget.RetryBudget(LIMITS)
+        while budget.take(0.0, 9, 1):
+            pass
+        self.assertFalse(budget.ample(0.0, 9, 1))
+        self.assertTrue(budget.ample(11_000.0, 9, 1))
--- a/packages/tier/src/godwitflow/tier/piece.py
+++ b/packages/tier/src/godwitflow/tier/piece.py
@@ -207,10 +207,15 @@
             self._settle()
         return True
 
-    def hedge(self) -> bool:
-        """Send the request to a second upstream, if that may help."""
+    def hedge(self, sparing: bool = False) -> bool:
+        """Send the request to a second upstream, if that may help.
+
+        ``sparing`` leaves what is left of a budget that runs low.
+        """
         if self.result is not None or self.waiting or not self._may_repeat():
             return False
+        if sparing and not self._budget_is_ample():
+            return False
         usable = [
             upstream
             for upstream in self.dispatcher.usable(self.service, self._used)
@@ -226,6 +231,13 @@
             return False
         return self.work.idempotent or not self.may_have_run
 
+    def _budget_is_ample(self) -> bool:
+        return self.service.budget.ample(
+            self.dispatcher.now_ms(),
+            self.dispatcher.nodes,
+            self.work.route.priority,
+        )
+
     def _take_budget(self) -> bool:
         return self.service.budget.take(
             self.dispatcher.now_ms(),
--- a/packages/tier/src/godwitflow/tier/query.py
+++ b/packages/tier/src/godwitflow/tier/query.py
@@ -12,6 +12,7 @@
 from godwitflow.http1 import callers
 from godwitflow.http1 import messages
 from godwitflow.model import ids
+from godwitflow.policy import gather_times
 from godwitflow.policy import routing
 from godwitflow.policy import strikes
 from godwitflow.tier import dispatcher as dispatching
@@ -20,10 +21,6 @@
 
 MS_PER_S = 1_000.0
 RECORD_BYTES = 16
-CALLER_LEG_MS = 13.0  # a new connection's handshake and the way back
-FINAL_MARGIN_MS = 15.0
-LATE_MIN_SHARE = 0.08
-LATE_MAX_SHARE = 0.45
 SINGLE_LATE_MAX_SHARE = 0.6
 RETRY_AFTER_S = 0.15
 DARK_RETRY_AFTER_S = 0.4
@@ -173,7 +170,7 @@
         return isinstance(self._piece.result, pieces.Got)
 
     def _final_at_ms(self) -> float:
-        return self.work.deadline_at_ms - FINAL_MARGIN_MS
+        return self.work.deadline_at_ms - gather_times.FINAL_MARGIN_MS
 
     def _on_late(self) -> None:
         self._piece.hedge()
@@ -263,11 +260,15 @@
         return True
 
     def _plan(self) -> None:
-        route = self.work.route
-        late_ms = self.dispatcher.pace(route).late.value
-        late_ms = max(late_ms, LATE_MIN_SHARE * route.target_ms)
-        late_ms = min(late_ms, LATE_MAX_SHARE * route.target_ms)
-        self._at(self.dispatcher.now_ms() + late_ms, self._on_late)
+        work = self.work
+        self._times = gather_times.plan(
+            work.received_at_ms,
+            work.deadline_at_ms,
+            work.route.target_ms,
+            self.dispatcher.pace(work.route).late.value,
+            self.exchange.request.first_on_connection,
+        )
+        self._at(self._times.first_hedge_at_ms, self._on_late)
 
     def _good_part(self, response: messages.Response) -> bool:
         names = self.dispatcher.names
@@ -287,23 +288,22 @@
 
     # Time ---------------------------------------------------------------
 
-    def _cutoff_at_ms(self) -> float:
-        target_ms = self.work.route.target_ms
-        return self.work.received_at_ms + target_ms - CALLER_LEG_MS
+    def _on_late(self) -> None:
+        self._hedge(sparing=True)
+        self._at(self._times.last_hedge_at_ms, self._on_very_late)
 
-    def _final_at_ms(self) -> float:
-        return self.work.deadline_at_ms - FINAL_MARGIN_MS
+    def _on_very_late(self) -> None:
+        self._hedge(sparing=False)
+        self._at(self._times.cutoff_at_ms, self._on_cutoff)
 
-    def _on_late(self) -> None:
+    def _hedge(self, sparing: bool) -> None:
         for piece in self._pieces:
             if piece.result is None and not piece.dark:
-                piece.hedge()
-        at_ms = min(self._cutoff_at_ms(), self._final_at_ms())
-        self._at(at_ms, self._on_cutoff)
+                piece.hedge(sparing)
 
     def _on_cutoff(self) -> None:
         self._past_cutoff = True
-        self._at(self._final_at_ms(), self._on_final)
+        self._at(self._times.final_at_ms, self._on_final)
         self._check()
 
     def _on_final(self) -> None:
@@ -390,6 +390,8 @@
         if missing:
             self.dispatcher.metrics.count("partial_answers")
             self._log_partial()
+        elif self._past_cutoff:
+            self._log_late()
         for piece in self._pieces:
             if piece.result is None:
                 piece.abandon()
@@ -411,6 +413,23 @@
             version=self.work.version,
         )
 
+    def _log_late(self) -> None:
+        """Name the shard that a whole answer waited for past its target."""
+        last = self._parts[-1][0]
+        calls = next(
+            piece.sends for piece in self._pieces if piece.service.name == last
+        )
+        elapsed_ms = self.dispatcher.now_ms() - self.work.received_at_ms
+        self.log.decision(
+            "late_answer",
+            request=self.work.request_text,
+            route=self.work.route.name,
+            last=last,
+            calls=calls,
+            elapsed_ms=round(elapsed_ms, 1),
+            version=self.work.version,
+        )
+
     def _on_gone(self) -> None:
         self._note_gone()
         for piece in self._pieces:
--- a/packages/tier/tests/net.py
+++ b/packages/tier/tests/net.py
@@ -289,7 +289,9 @@
             self.net.now_ms(),
         )
 
-    def send(self, target, deadline_ms=None, method=b"GET", body=None):
+    def send(
+        self, target, deadline_ms=None, method=b"GET", body=None, new=False
+    ):
         """Send a request; return its caller and its exchange."""
         fields = [
             (b"Host", HOST.encode()),
@@ -299,7 +301,7 @@
             fields.append((b"X-Left", b"%d" % deadline_ms))
         caller = Caller(self.net)
         request = messages.Request(
-            method, target, fields, body, True, self.net.now_ms()
+            method, target, fields, body, True, self.net.now_ms(), new
         )
         exchange = callers.Exchange(caller, request)
         self.front.handle(exchange)
--- a/packages/tier/tests/test_query.py
+++ b/packages/tier/tests/test_query.py
@@ -287,6 +287,52 @@
         self.assertLess(caller.answered_at_ms - start_ms, 95.0)
         self.assertNotIn(b"s0", net.value(caller.response, b"x-parts"))
 
+    def test_new_caller_gets_its_answer_sooner(self):
+        took_ms = {}
+        for new in (False, True):
+            world = net.World(shards=4)
+            warm(world)
+            all_of(world, "s0", latency_ms=400.0)
+            start_ms = world.net.now_ms()
+            caller = world.ask(b"/all/x", new=new)
+            self.assertEqual(b"1", net.value(caller.response, b"x-missing"))
+            took_ms[new] = caller.answered_at_ms - start_ms
+        self.assertLess(took_ms[True], took_ms[False])
+
+    def test_budget_that_runs_low_is_kept_for_calls_that_are_stuck(self):
+        hedged_ms = {}
+        for used_share in (0.0, 0.7):
+            world = net.World(shards=2)
+            warm(world)
+            all_of(world, "s0", latency_ms=300.0)
+            budget = world.dispatcher.service("s0").budget
+            now_ms = world.net.now_ms()
+            room = next(
+                count for count in range(99) if not budget.take(now_ms, 1, 1)
+            )
+            world.run(11_000.0, step_ms=100.0)
+            for _ in range(int(used_share * room)):
+                budget.take(world.net.now_ms(), 1, 1)
+            world.log.lines.clear()
+            world.ask(b"/all/x")
+            hedged_ms[used_share] = next(
+                fields["elapsed_ms"]
+                for event, fields in world.log.lines
+                if event == "call_repeated" and fields["service"] == "s0"
+            )
+        self.assertLess(hedged_ms[0.0] + 10.0, hedged_ms[0.7])
+        self.assertLess(hedged_ms[0.7], 70.0)
+
+    def test_whole_answer_after_its_target_is_logged(self):
+        world = net.World(shards=2)
+        warm(world)
+        all_of(world, "s0", latency_ms=300.0)
+        caller = world.ask(b"/all/x")
+        self.assertEqual(b"0", net.value(caller.response, b"x-missing"))
+        event, fields = world.log.lines[-1]
+        self.assertEqual("late_answer", event)
+        self.assertEqual("s0", fields["last"])
+
     def test_dark_shard_no_longer_holds_answers_back(self):
         world = net.World(shards=4)
         warm(world)
