Tell a few peers what a node saw of upstreams; name callers a few nodes

Cause: with 64 nodes each node makes a call to one upstream every three seconds, so each must meet a slow upstream several times before it avoids it. Ruled out: budget alone (half of the missing shards had been hedged).

Change: each 400 ms a node tells four peers, drawn anew, what it saw itself of slow, failing and suspected upstreams (at most 16). Reports lead the choice of replicas only; whether an upstream is dark is for own calls to say. Nothing heard is passed on, so no word goes round in circles, and the cost a node does not grow with the fleet. Callers are named four near nodes and two far ones, the same while they are ready, in place of all.

--- a/packages/http1/src/godwitflow/http1/callers.py
+++ b/packages/http1/src/godwitflow/http1/callers.py
@@ -59,6 +59,13 @@
         """Whether an answer is still awaited."""
         return self._connection is not None
 
+    @property
+    def caller_host(self) -> str:
+        """The address that the caller connected from, without its port."""
+        if self._connection is None:
+            return ""
+        return str(self._connection.transport.getPeer().host)
+
     def answer(self, response: messages.Response) -> None:
         """Send the answer; later ones are ignored."""
         connection, self._connection = self._connection, None
--- a/packages/policy/src/godwitflow/policy/addresses.py
+++ b/packages/policy/src/godwitflow/policy/addresses.py
@@ -1,12 +1,15 @@
 """Which entry VMs a caller is told to use."""
 
 import dataclasses
+import hashlib
 import random
 
 from godwitflow.model import ids
 from godwitflow.wire import messages
 
 LOAD_BAND = 0.2
+NEAR_COUNT = 4
+FAR_COUNT = 2
 
 
 @dataclasses.dataclass(frozen=True)
@@ -45,3 +48,32 @@
     return AddressAnswer(
         tuple(member.caller for member in ready[:count]), max_age_ms
     )
+
+
+def subset(
+    ready: list[messages.MemberUpdate],
+    near: ids.FailureDomain | None,
+    caller: str,
+    near_count: int = NEAR_COUNT,
+    far_count: int = FAR_COUNT,
+) -> list[str]:
+    """Return the caller addresses of a few members for one caller.
+
+    Answers callers with few requests each in front of many nodes: each
+    keeps to a few nodes, most of them near, so that the next request
+    finds an open connection. The few are picked by rendezvous: the same
+    for a caller while they are ready, different between callers, and a
+    far one or two remain where a failure domain is lost.
+    """
+
+    def weight(member: messages.MemberUpdate) -> bytes:
+        data = f"{caller}/{member.node}".encode()
+        return hashlib.blake2b(data, digest_size=8).digest()
+
+    ranked = sorted(ready, key=weight, reverse=True)
+    nearby = [row for row in ranked if row.failure_domain == near]
+    others = [row for row in ranked if row.failure_domain != near]
+    chosen = nearby[:near_count]
+    missing = near_count - len(chosen)
+    chosen += others[: far_count + missing]
+    return [row.caller for row in chosen]
--- a/packages/policy/src/godwitflow/policy/gather_times.py
+++ b/packages/policy/src/godwitflow/policy/gather_times.py
@@ -12,8 +12,8 @@
 LATE_MIN_SHARE = 0.08
 LATE_MAX_SHARE = 0.45
 LAST_HEDGE_LATES = 1.6
-NEW_CALLER_LEG_MS = 27.0  # address answer, handshake and both ways
-KNOWN_CALLER_LEG_MS = 23.0  # the same, on a connection that was open
+NEW_CALLER_LEG_MS = 28.0  # address answer, handshake and both ways
+KNOWN_CALLER_LEG_MS = 25.0  # the same, on a connection that was open
 FINAL_MARGIN_MS = 15.0
 
 
@@ -48,8 +48,8 @@
 
     >>> plan(0.0, 1_500.0, 100.0, 20.0, False)
     ... # doctest: +NORMALIZE_WHITESPACE
-    GatherTimes(first_hedge_at_ms=20.0, last_hedge_at_ms=45.0,
-                cutoff_at_ms=77.0, final_at_ms=1485.0)
+    GatherTimes(first_hedge_at_ms=20.0, last_hedge_at_ms=43.0,
+                cutoff_at_ms=75.0, final_at_ms=1485.0)
     """
     final_at_ms = deadline_at_ms - FINAL_MARGIN_MS
     leg_ms = NEW_CALLER_LEG_MS if new_caller else KNOWN_CALLER_LEG_MS
--- a/packages/policy/src/godwitflow/policy/replica_choice.py
+++ b/packages/policy/src/godwitflow/policy/replica_choice.py
@@ -12,6 +12,7 @@
 import typing
 
 from godwitflow.model import ids
+from godwitflow.policy import observations
 
 LATENCY_GAIN = 0.2
 LATENCY_RATIO_MAX = 8.0
@@ -23,6 +24,10 @@
 DARK_AFTER_USUAL = 5.0
 COLD_FACTOR = 1.6
 FAR_FACTOR = 1.5
+REPORT_GAIN = 0.3
+REPORT_CALLS_MAX = 3
+SUSPECTED_RATIO = 1.8
+SUSPECTED_FAILURE_SHARE = 0.15
 EJECT_AFTER = 3
 EJECT_MS = 500.0
 EJECT_MAX_MS = 1_000.0
@@ -77,6 +82,26 @@
         self.ejections = 0
         self.ejected_until_ms = 0.0
 
+    def on_report(self, now_ms: float, seen: observations.Observation) -> None:
+        """Learn from what a peer saw; only the choice is led by it.
+
+        Whether the upstream is dark is for this node's own calls to say,
+        as a fault may lie between the peer and the upstream.
+        """
+        self._age(now_ms)
+        kept = (1.0 - REPORT_GAIN) ** min(seen.replies, REPORT_CALLS_MAX)
+        ratio = min(seen.latency_ratio, LATENCY_RATIO_MAX)
+        self.latency_ratio = ratio + (self.latency_ratio - ratio) * kept
+        self.failure_share *= kept
+        kept = (1.0 - REPORT_GAIN) ** min(seen.failures, REPORT_CALLS_MAX)
+        self.failure_share = 1.0 - (1.0 - self.failure_share) * kept
+
+    @property
+    def suspected(self) -> bool:
+        """Whether the upstream seems worse than its peers."""
+        slow = self.latency_ratio >= SUSPECTED_RATIO
+        return slow or self.failure_share >= SUSPECTED_FAILURE_SHARE
+
     def on_rejection(self, now_ms: float) -> None:
         """Learn from a rejection: the upstream lives, but is full."""
         self._count_failure(now_ms)
@@ -99,16 +124,20 @@
         self.silent = False
         self.trial_gap_ms = TRIAL_GAP_MS
 
-    def on_given_up(self, now_ms: float, started_at_ms: float) -> None:
-        """Learn that a call was given up; a long one tells of silence."""
+    def on_given_up(self, now_ms: float, started_at_ms: float) -> bool:
+        """Learn that a call was given up; a long one tells of silence.
+
+        Returns whether the call was long enough to count.
+        """
         if now_ms - started_at_ms < self._patience_ms():
-            return
+            return False
         self._count_failure(now_ms)
         if self.replied_at_ms >= started_at_ms:
-            return
+            return True
         if self.silent:
             self.trial_gap_ms = min(TRIAL_GAP_MAX_MS, 2.0 * self.trial_gap_ms)
         self.silent = True
+        return True
 
     def _patience_ms(self) -> float:
         return max(DARK_AFTER_MS, DARK_AFTER_USUAL * self.usual_ms)
--- /dev/null
+++ b/packages/policy/tests/test_addresses.py
@@ -0,0 +1,75 @@
+"""Tests of which nodes a caller is told to use."""
+
+import collections
+import unittest
+
+from godwitflow.model import ids
+from godwitflow.policy import addresses
+from godwitflow.wire import messages
+
+
+def member(number, domain):
+    return messages.MemberUpdate(
+        ids.NodeId(f"n{number}"),
+        ids.FailureDomain(domain),
+        f"inner-{number}",
+        f"caller-{number}",
+        "",
+        1,
+        messages.MemberState.ALIVE,
+        True,
+    )
+
+
+def fleet(count):
+    return [member(number, f"d{number % 4}") for number in range(count)]
+
+
+class SubsetTest(unittest.TestCase):
+    def test_a_caller_keeps_its_nodes_while_they_are_ready(self):
+        ready = fleet(64)
+        before = addresses.subset(ready, "d1", "10.0.0.9")
+        gone = next(row for row in ready if row.caller not in before)
+        ready.remove(gone)
+        self.assertEqual(before, addresses.subset(ready, "d1", "10.0.0.9"))
+
+    def test_a_lost_node_is_replaced_by_one_other(self):
+        ready = fleet(64)
+        before = set(addresses.subset(ready, "d1", "10.0.0.9"))
+        kept = [row for row in ready if row.caller != min(before)]
+        after = set(addresses.subset(kept, "d1", "10.0.0.9"))
+        self.assertEqual(1, len(after - before))
+
+    def test_callers_spread_over_all_nodes(self):
+        ready = fleet(64)
+        named = collections.Counter(
+            address
+            for number in range(400)
+            for address in addresses.subset(
+                ready, f"d{number % 4}", f"10.0.0.{number}"
+            )
+        )
+        self.assertEqual(64, len(named))
+        self.assertLess(max(named.values()), 4 * 400 * 6 / 64)
+
+    def test_most_are_near_and_some_are_not(self):
+        by_caller = {row.caller: row for row in fleet(64)}
+        found = addresses.subset(fleet(64), "d2", "10.0.0.9")
+        near = [by_caller[one].failure_domain == "d2" for one in found]
+        self.assertEqual(
+            (addresses.NEAR_COUNT, addresses.FAR_COUNT),
+            (near.count(True), near.count(False)),
+        )
+
+    def test_domain_with_no_node_gets_others(self):
+        ready = [row for row in fleet(9) if row.failure_domain != "d2"]
+        found = addresses.subset(ready, "d2", "10.0.0.9")
+        self.assertEqual(
+            addresses.NEAR_COUNT + addresses.FAR_COUNT, len(found)
+        )
+
+    def test_no_answer_is_empty_while_a_node_is_ready(self):
+        for near in ("d1", "d3", None):
+            found = addresses.subset(fleet(1), near, "")
+            self.assertEqual(["caller-0"], found)
+        self.assertEqual([], addresses.subset([], "d1", ""))
--- /dev/null
+++ b/packages/policy/tests/test_observations.py
@@ -0,0 +1,126 @@
+"""Tests of what nodes tell each other of upstreams."""
+
+import random
+import unittest
+
+from godwitflow.model import ids
+from godwitflow.policy import observations
+from godwitflow.policy import replica_choice
+
+USUAL_MS = 10.0
+
+
+def nobody(name):
+    return False
+
+
+class ObservationsTest(unittest.TestCase):
+    def test_only_what_is_notable_is_told(self):
+        seen = observations.Observations()
+        seen.note_reply(ids.UpstreamId("fast"), 1.0)
+        seen.note_reply(ids.UpstreamId("slow"), 9.0)
+        seen.note_failure(ids.UpstreamId("broken"))
+        told = {one.upstream: one for one in seen.take(nobody)}
+        self.assertEqual({"slow", "broken"}, set(told))
+        self.assertEqual(9.0, told["slow"].latency_ratio)
+        self.assertEqual((0, 1), (told["broken"].replies, 1))
+
+    def test_good_news_is_told_of_suspected_upstreams(self):
+        seen = observations.Observations()
+        seen.note_reply(ids.UpstreamId("back"), 1.0)
+        told = seen.take(lambda name: name == "back")
+        self.assertEqual(["back"], [one.upstream for one in told])
+
+    def test_each_call_is_told_once(self):
+        seen = observations.Observations()
+        seen.note_failure(ids.UpstreamId("broken"))
+        self.assertEqual(1, len(seen.take(nobody)))
+        self.assertEqual([], seen.take(nobody))
+
+    def test_a_round_is_bounded_and_holds_the_worst(self):
+        seen = observations.Observations()
+        for number in range(50):
+            seen.note_reply(ids.UpstreamId(f"u{number}"), 3.0 + number)
+        told = seen.take(nobody)
+        self.assertEqual(observations.REPORTS_A_ROUND, len(told))
+        self.assertEqual("u49", told[0].upstream)
+
+
+class ReportTest(unittest.TestCase):
+    def test_reports_of_slow_calls_move_the_choice_away(self):
+        slow = replica_choice.ReplicaHealth()
+        sound = replica_choice.ReplicaHealth()
+        seen = observations.Observation(ids.UpstreamId("a"), 1, 9.0, 0)
+        for _ in range(4):
+            slow.on_report(0.0, seen)
+        candidates = [
+            replica_choice.Candidate(ids.UpstreamId("a"), slow, False),
+            replica_choice.Candidate(ids.UpstreamId("b"), sound, False),
+        ]
+        source = random.Random(1)
+        chosen = [
+            replica_choice.choose(candidates, 0.0, USUAL_MS, source).upstream
+            for _ in range(500)
+        ]
+        self.assertLess(chosen.count("a"), 75)
+
+    def test_reports_alone_never_make_an_upstream_dark(self):
+        health = replica_choice.ReplicaHealth()
+        seen = observations.Observation(ids.UpstreamId("a"), 0, 1.0, 40)
+        for _ in range(100):
+            health.on_report(0.0, seen)
+        self.assertFalse(health.dark(0.0))
+        self.assertFalse(health.doubtful(0.0))
+
+    def test_own_good_replies_outweigh_reports(self):
+        health = replica_choice.ReplicaHealth()
+        seen = observations.Observation(ids.UpstreamId("a"), 1, 9.0, 1)
+        for _ in range(10):
+            health.on_report(0.0, seen)
+        for _ in range(12):
+            health.on_reply(0.0, USUAL_MS, USUAL_MS)
+        self.assertFalse(health.suspected)
+
+
+class FleetTest(unittest.TestCase):
+    """Plays a fleet in which each node makes few calls to an upstream."""
+
+    def _slow_calls(self, told):
+        nodes, rounds = 64, 20
+        source = random.Random(7)
+        names = [ids.UpstreamId(name) for name in ("a", "b", "c")]
+        health = [
+            {name: replica_choice.ReplicaHealth() for name in names}
+            for _ in range(nodes)
+        ]
+        counts = [observations.Observations() for _ in range(nodes)]
+        slow = 0
+        for step in range(rounds):
+            now_ms = 400.0 * step
+            for node in range(nodes):
+                if source.random() < 0.36:
+                    slow += self._call(
+                        health[node], counts[node], now_ms, source
+                    )
+            for node in range(nodes):
+                for one in counts[node].take(nobody):
+                    for peer in source.sample(range(nodes), told):
+                        health[peer][one.upstream].on_report(now_ms, one)
+        return slow
+
+    def _call(self, health, counts, now_ms, source):
+        candidates = [
+            replica_choice.Candidate(name, row, False)
+            for name, row in health.items()
+        ]
+        name = replica_choice.choose(
+            candidates, now_ms, USUAL_MS, source
+        ).upstream
+        took_ms = 90.0 if name == "a" else 10.0
+        health[name].on_reply(now_ms + took_ms, took_ms, USUAL_MS)
+        counts.note_reply(name, took_ms / USUAL_MS)
+        return name == "a"
+
+    def test_fleet_that_shares_meets_a_slow_upstream_less(self):
+        alone, shared = self._slow_calls(0), self._slow_calls(4)
+        self.assertLess(shared, 0.6 * alone)
--- a/packages/tier/src/godwitflow/tier/dispatcher.py
+++ b/packages/tier/src/godwitflow/tier/dispatcher.py
@@ -12,6 +12,7 @@
 
 from godwitflow.http1 import upstreams
 from godwitflow.model import ids
+from godwitflow.policy import observations
 from godwitflow.policy import quantile
 from godwitflow.policy import registrations
 from godwitflow.policy import replica_choice
@@ -149,6 +150,7 @@
         self.nodes = 1
         self._lives = 1
         self.strikes = strikes.Strikes()
+        self._observations = observations.Observations()
         self.on_strike: typing.Callable[[ids.Fingerprint, int], None] = (
             _ignore_strike
         )
@@ -370,23 +372,46 @@
         rejected: bool,
     ) -> None:
         now_ms = self.now_ms()
+        seen = self._observations
+        name = upstream.registration.upstream
         match outcome:
             case upstreams.Replied(response) if rejected:
                 upstream.health.on_rejection(now_ms)
+                seen.note_failure(name)
                 if response.status == MISDIRECTED:
                     upstream.misdirected = True
                     upstream.pool.close_idle()
             case upstreams.Replied(response) if response.status >= 500:
                 upstream.health.on_failure(now_ms)
+                seen.note_failure(name)
             case upstreams.Replied():
                 usual_ms = max(0.1, pace.usual.value)
                 upstream.health.on_reply(now_ms, elapsed_ms, usual_ms)
+                seen.note_reply(name, elapsed_ms / usual_ms)
                 pace.usual.record(elapsed_ms)
                 pace.late.record(elapsed_ms)
             case upstreams.Broken(upstreams.Fault.CANCELLED):
-                upstream.health.on_given_up(now_ms, now_ms - elapsed_ms)
+                if upstream.health.on_given_up(now_ms, now_ms - elapsed_ms):
+                    seen.note_failure(name)
             case upstreams.Broken():
                 upstream.health.on_failure(now_ms)
+                seen.note_failure(name)
+
+    # Peers --------------------------------------------------------------
+
+    def take_observations(self) -> list[observations.Observation]:
+        """Return what peers should know of upstreams; once each."""
+        return self._observations.take(self._suspected)
+
+    def _suspected(self, name: ids.UpstreamId) -> bool:
+        upstream = self._upstreams.get(name)
+        return upstream is not None and upstream.health.suspected
+
+    def apply_observation(self, seen: observations.Observation) -> None:
+        """Learn from what a peer saw of an upstream."""
+        upstream = self._upstreams.get(seen.upstream)
+        if upstream is not None:
+            upstream.health.on_report(self.now_ms(), seen)
 
 
 def _ignore_strike(mark: ids.Fingerprint, crashes: int) -> None:
--- a/packages/tier/src/godwitflow/tier/node.py
+++ b/packages/tier/src/godwitflow/tier/node.py
@@ -15,12 +15,14 @@
 from godwitflow.http1 import messages as http_messages
 from godwitflow.model import errors
 from godwitflow.model import ids
+from godwitflow.policy import addresses
 from godwitflow.policy import registrations
 from godwitflow.policy import routing
 from godwitflow.store import objects
 from godwitflow.tier import dispatcher as dispatching
 from godwitflow.tier import front as fronts
 from godwitflow.tier import headers
+from godwitflow.tier import health_exchange
 from godwitflow.tier import log as logs
 from godwitflow.tier import metrics
 from godwitflow.tier import mirror as mirrors
@@ -54,7 +56,18 @@
     STOPPING = "stopping"
 
 
-AddressAnswer = typing.Callable[[list[str], float], http_messages.Response]
+class Directory(typing.Protocol):
+    """How callers ask which addresses to use, and how they are told."""
+
+    def near(self, request: http_messages.Request) -> ids.FailureDomain | None:
+        """Return the failure domain that the caller says it is in."""
+        ...
+
+    def answer(
+        self, addresses: list[str], age_s: float
+    ) -> http_messages.Response:
+        """Return the answer with these addresses."""
+        ...
 
 
 class Node:
@@ -69,7 +82,7 @@
         formats: mirrors.Formats,
         log: logs.Log,
         incarnation: int,
-        address_answer: AddressAnswer,
+        directory: Directory,
         now_ms: typing.Callable[[], float],
     ) -> None:
         self.stage = Stage.STARTING
@@ -77,7 +90,7 @@
         self._now_ms = now_ms
         self._settings = settings
         self._store = store
-        self._address_answer = address_answer
+        self._callers_directory = directory
         self._log = log
         self.metrics = metrics.Metrics()
         seed = random.getrandbits(32)
@@ -119,8 +132,12 @@
             self._on_revisions,
             self._revisions,
             self._on_suspicions,
+            self._on_reports,
             seed,
         )
+        self.health = health_exchange.HealthExchange(
+            self.dispatcher, self.peers.tell_some
+        )
         self.replication = replicating.Replication(
             reactor,
             store,
@@ -161,6 +178,7 @@
         )
         self._every(peering.TICK_S, self.peers.tick)
         self._every(peering.TICK_S, self.replication.tick)
+        self._every(peering.TICK_S, self.health.tick)
         self._every(SWEEP_S, self._sweep)
         self.dispatcher.apply_recent_start(True)
         self._reactor.callLater(
@@ -307,6 +325,9 @@
                 entry.fingerprint, entry.crashes, now_ms
             )
 
+    def _on_reports(self, message: messages.UpstreamReports) -> None:
+        self.health.on_reports(message)
+
     def _on_members(self) -> None:
         self.dispatcher.apply_nodes(self.peers.node_count())
 
@@ -328,13 +349,16 @@
         )
 
     def _on_resolve(self, exchange: callers.Exchange) -> None:
-        addresses = [row.caller for row in self.peers.ready()]
-        if not addresses:
+        near = self._callers_directory.near(exchange.request)
+        chosen = addresses.subset(
+            self.peers.ready(), near, exchange.caller_host
+        )
+        if not chosen:
             exchange.answer(
                 http_messages.own_response(503, "no node is ready", 0.2)
             )
             return
-        exchange.answer(self._address_answer(addresses, ADDRESS_AGE_S))
+        exchange.answer(self._callers_directory.answer(chosen, ADDRESS_AGE_S))
 
     def _on_scrape(self, exchange: callers.Exchange) -> None:
         """Answer with every counter and latency as text."""
--- a/packages/tier/src/godwitflow/tier/peers.py
+++ b/packages/tier/src/godwitflow/tier/peers.py
@@ -4,6 +4,7 @@
 settings and by the members that the store lists.
 """
 
+import random
 import typing
 
 from twisted.internet import protocol
@@ -37,6 +38,7 @@
         on_revisions: typing.Callable[[str, messages.Revisions], None],
         revisions: typing.Callable[[], messages.Revisions],
         on_suspicions: typing.Callable[[messages.Suspicions], None],
+        on_reports: typing.Callable[[messages.UpstreamReports], None],
         seed: int,
     ) -> None:
         self.table = membership.Membership(me, seed)
@@ -48,6 +50,8 @@
         self._on_revisions = on_revisions
         self._revisions = revisions
         self._on_suspicions = on_suspicions
+        self._on_reports = on_reports
+        self._random = random.Random(seed)
         self._next_seed_ms = 0.0
         self._nodes_logged = 0
 
@@ -84,6 +88,14 @@
             if row.node != self.table.me.node:
                 self._send(row.inner, [message])
 
+    def tell_some(self, message: messages.Message, count: int) -> None:
+        """Send a message to a few living members, drawn anew each time."""
+        others = [
+            row for row in self.living() if row.node != self.table.me.node
+        ]
+        for row in self._random.sample(others, min(count, len(others))):
+            self._send(row.inner, [message])
+
     def _post(self, actions: list[membership.SendTo]) -> None:
         for action in actions:
             self._send(action.inner, [action.message])
@@ -140,6 +152,8 @@
                 self._on_revisions(header.inner, message)
             case messages.Suspicions():
                 self._on_suspicions(message)
+            case messages.UpstreamReports():
+                self._on_reports(message)
             case messages.MembersPush():
                 self.table.merge(now_ms, message.updates)
             case _:
--- a/packages/tier/tests/test_node.py
+++ b/packages/tier/tests/test_node.py
@@ -39,6 +39,16 @@
         return upstream.registration()
 
 
+class Directory:
+    """Names no failure domain, and answers in plain text."""
+
+    def near(self, request):
+        return None
+
+    def answer(self, addresses, age_s):
+        return http_messages.own_response(200, ",".join(addresses))
+
+
 class Port:
     def stopListening(self):  # noqa: N802
         return defer.succeed(None)
@@ -110,15 +120,12 @@
             Formats(),
             self.log,
             1,
-            self.address_answer,
+            Directory(),
             lambda: self.reactor.seconds() * 1_000.0,
         )
         self.ended = []
         self.node.start().addCallback(self.ended.append)
 
-    def address_answer(self, addresses, age_s):
-        return http_messages.own_response(200, ",".join(addresses))
-
     def fill(self):
         self.store.write("configurations", "main", {"version": 3})
         self.store.write("upstreams", "u1", {"address": "10.0.1.1:80"})
--- a/packages/wire/src/godwitflow/wire/messages.py
+++ b/packages/wire/src/godwitflow/wire/messages.py
@@ -288,6 +288,21 @@
     changes: tuple[ObjectChange, ...]
 
 
+class UpstreamReport(msgspec.Struct, frozen=True, array_like=True):
+    """What a node saw of one upstream in a round of a few calls."""
+
+    upstream: ids.UpstreamId
+    replies: int
+    latency_ratio: float
+    failures: int
+
+
+class UpstreamReports(msgspec.Struct, frozen=True, array_like=True, tag=20):
+    """A node tells a few peers what it saw itself of upstreams."""
+
+    reports: tuple[UpstreamReport, ...]
+
+
 Message = (
     Scatter
     | Piece
@@ -308,4 +323,5 @@
     | MembersPush
     | Revisions
     | Delta
+    | UpstreamReports
 )
