Name the strongest nodes to callers first, until they are busy

Eight of the 64 nodes are four times as fast as the others, and a query over 36 shards is some 15 ms of work on one core. Ruled out: connections (a fifth of the calls opened one, with few nodes a caller as many).

Change: a node tells its cores with its membership; address answers name three near and three far nodes, those not busy first, then the strongest, equals by rendezvous. A node estimates its load from the calls it makes and tells all members when it becomes busy (0.5 of its cores) or calm (0.3).

--- a/packages/policy/src/godwitflow/policy/addresses.py
+++ b/packages/policy/src/godwitflow/policy/addresses.py
@@ -5,11 +5,12 @@
 import random
 
 from godwitflow.model import ids
+from godwitflow.policy import node_load
 from godwitflow.wire import messages
 
 LOAD_BAND = 0.2
-NEAR_COUNT = 4
-FAR_COUNT = 2
+NEAR_COUNT = 3
+FAR_COUNT = 3
 
 
 @dataclasses.dataclass(frozen=True)
@@ -60,17 +61,21 @@
     """Return the caller addresses of a few members for one caller.
 
     Answers callers with few requests each in front of many nodes: each
-    keeps to a few nodes, most of them near, so that the next request
-    finds an open connection. The few are picked by rendezvous: the same
-    for a caller while they are ready, different between callers, and a
-    far one or two remain where a failure domain is lost.
+    keeps to a few nodes, so that the next request finds an open
+    connection. Nodes that are not busy come first, then the strongest;
+    equals are ranked by rendezvous: the same for a caller while they are
+    ready, different between callers. Some are in other failure domains,
+    as a caller's own may be lost.
     """
 
-    def weight(member: messages.MemberUpdate) -> bytes:
+    def order(
+        member: messages.MemberUpdate,
+    ) -> tuple[bool, float, bytes]:
         data = f"{caller}/{member.node}".encode()
-        return hashlib.blake2b(data, digest_size=8).digest()
+        weight = hashlib.blake2b(data, digest_size=8).digest()
+        return member.load >= node_load.BUSY_LOAD, -member.cores, weight
 
-    ranked = sorted(ready, key=weight, reverse=True)
+    ranked = sorted(ready, key=order)
     nearby = [row for row in ranked if row.failure_domain == near]
     others = [row for row in ranked if row.failure_domain != near]
     chosen = nearby[:near_count]
--- a/packages/policy/tests/test_addresses.py
+++ b/packages/policy/tests/test_addresses.py
@@ -8,7 +8,7 @@
 from godwitflow.wire import messages
 
 
-def member(number, domain):
+def member(number, domain, cores=1.0, load=0.0):
     return messages.MemberUpdate(
         ids.NodeId(f"n{number}"),
         ids.FailureDomain(domain),
@@ -18,6 +18,8 @@
         1,
         messages.MemberState.ALIVE,
         True,
+        load,
+        cores,
     )
 
 
@@ -61,6 +63,20 @@
             (near.count(True), near.count(False)),
         )
 
+    def test_strong_nodes_come_first_while_they_are_not_busy(self):
+        strong = [member(100 + n, f"d{n % 4}", 4.0) for n in range(8)]
+        ready = fleet(56) + strong
+        found = addresses.subset(ready, "d1", "10.0.0.9")
+        names = {row.caller for row in strong}
+        self.assertEqual(5, len(names & set(found)))
+        busy = [member(100 + n, f"d{n % 4}", 4.0, 0.5) for n in range(8)]
+        found = addresses.subset(fleet(56) + busy, "d1", "10.0.0.9")
+        self.assertFalse(names & set(found))
+
+    def test_busy_nodes_are_named_where_no_others_are_left(self):
+        ready = [member(number, "d1", 1.0, 0.9) for number in range(3)]
+        self.assertEqual(3, len(addresses.subset(ready, "d1", "x")))
+
     def test_domain_with_no_node_gets_others(self):
         ready = [row for row in fleet(9) if row.failure_domain != "d2"]
         found = addresses.subset(ready, "d2", "10.0.0.9")
--- a/packages/tier/src/godwitflow/tier/dispatcher.py
+++ b/packages/tier/src/godwitflow/tier/dispatcher.py
@@ -154,6 +154,7 @@
         self.on_strike: typing.Callable[[ids.Fingerprint, int], None] = (
             _ignore_strike
         )
+        self.on_call: typing.Callable[[], None] = _count_nothing
         self.random = random.Random(seed)
         self._failure_domain = failure_domain
         self._limits = limits
@@ -309,7 +310,8 @@
         heapq.heappush(service.waiting, entry)
 
     def new_key(self) -> int:
-        """Return a key for a call under way."""
+        """Return a key for a call that starts."""
+        self.on_call()
         return next(self._keys)
 
     def note_strike(
@@ -414,6 +416,10 @@
             upstream.health.on_report(self.now_ms(), seen)
 
 
+def _count_nothing() -> None:
+    """Count no call; a node puts its load in place of this."""
+
+
 def _ignore_strike(mark: ids.Fingerprint, crashes: int) -> None:
     """Tell nobody; a node puts its peers in place of this."""
 
--- a/packages/tier/src/godwitflow/tier/node.py
+++ b/packages/tier/src/godwitflow/tier/node.py
@@ -16,6 +16,7 @@
 from godwitflow.model import errors
 from godwitflow.model import ids
 from godwitflow.policy import addresses
+from godwitflow.policy import node_load
 from godwitflow.policy import registrations
 from godwitflow.policy import routing
 from godwitflow.store import objects
@@ -122,7 +123,10 @@
             "",
             incarnation,
             messages.MemberState.ALIVE,
+            cores=settings.cores,
         )
+        self.load = node_load.NodeLoad(settings.cores)
+        self.dispatcher.on_call = self.load.on_call
         self.peers = peering.Peers(
             me,
             settings.seeds,
@@ -374,7 +378,21 @@
         body = ("\n".join(rows) + "\n").encode()
         exchange.answer(http_messages.Response(200, b"OK", [], body))
 
+    def _note_load(self) -> None:
+        """Tell every member when this node becomes busy, or calm again."""
+        if not self.load.tick(self._now_ms()):
+            return
+        shown = node_load.BUSY_LOAD if self.load.busy else 0.0
+        self._log.event(
+            "busy" if self.load.busy else "calm",
+            load=round(self.load.load, 2),
+            cores=self._settings.cores,
+        )
+        self.peers.table.update_self(load=shown)
+        self.peers.announce()
+
     def _sweep(self) -> None:
+        self._note_load()
         for listener in (
             self._callers,
             self._ready,
--- a/packages/tier/src/godwitflow/tier/settings.py
+++ b/packages/tier/src/godwitflow/tier/settings.py
@@ -22,7 +22,7 @@
     Addresses are ``IP:PORT``. ``inner`` is for datagrams between nodes;
     ``seeds`` holds inner addresses of a few members, which may be stale.
     ``first_start`` is set only when the whole system starts for the
-    first time.
+    first time. ``cores`` is the VM's processor, in usual cores.
     """
 
     node: ids.NodeId
@@ -36,3 +36,4 @@
     store_address: str
     first_start: bool
     bounds: Bounds
+    cores: float = 1.0
--- a/packages/tier/tests/test_node.py
+++ b/packages/tier/tests/test_node.py
@@ -9,6 +9,7 @@
 from godwitflow.http1 import messages as http_messages
 from godwitflow.model import errors
 from godwitflow.model import ids
+from godwitflow.policy import node_load
 from godwitflow.policy import retry_budget
 from godwitflow.policy import routing
 from godwitflow.store import memory_objects
@@ -208,6 +209,19 @@
         life.run(GRACE_MS - 100.0)
         self.assertEqual([None], life.ended)
 
+    def test_busy_node_says_so_and_takes_it_back(self):
+        life = Life()
+        life.fill()
+        life.run(1_000.0)
+        for calls, load in ((5_000, node_load.BUSY_LOAD), (0, 0.0)):
+            for _ in range(4):
+                for _ in range(calls):
+                    life.node.dispatcher.on_call()
+                life.run(500.0)
+            self.assertEqual(load, life.node.peers.table.me.load)
+        events = [event for event, _ in life.log.lines]
+        self.assertLess(events.index("busy"), events.index("calm"))
+
     def test_changed_settings_are_taken(self):
         life = Life()
         life.fill()
--- a/packages/wire/src/godwitflow/wire/messages.py
+++ b/packages/wire/src/godwitflow/wire/messages.py
@@ -155,7 +155,8 @@
     """What one node says of a member; the higher incarnation wins.
 
     ``joined`` says that the member has a configuration and indexes, so
-    that it may be named to callers.
+    that it may be named to callers. ``load`` is the share of its
+    ``cores`` that it uses; no cores means that they are not known.
     """
 
     node: ids.NodeId
@@ -167,6 +168,7 @@
     state: MemberState
     joined: bool = False
     load: float = 0.0
+    cores: float = 0.0
 
 
 class Digest(msgspec.Struct, frozen=True, array_like=True):
