--- a/packages/policy/src/godwitflow/policy/store_watch.py
+++ b/packages/policy/src/godwitflow/policy/store_watch.py
@@ -4,6 +4,9 @@
 tell the others what changes, so that the store's calls do not grow with
 the fleet. A node that hears from no watcher for a while follows the
 store itself; the others do so one after another, as one is enough.
+
+Word goes down a tree over the same ranking, so that no node tells more
+than a few others however large the fleet is; each node has two parents.
 """
 
 import functools
@@ -13,18 +16,45 @@
 from godwitflow.model import ids
 
 WATCHERS = 3
+FAN_OUT = 8
 COVERED_MS = 1_000.0
 STAGGER_MS = 120.0
 
 
-def rank(
+def ranking(
     me: ids.NodeId, living: typing.Iterable[ids.NodeId], salt: str
-) -> int:
-    """Return how many living nodes come before this one; 0 is first."""
-    mine = _weight(me, salt)
-    return sum(
-        1 for node in living if node != me and _weight(node, salt) > mine
-    )
+) -> list[ids.NodeId]:
+    """Return the living and this node, the first watcher first."""
+    nodes = {*living, me}
+    return sorted(nodes, key=lambda node: _weight(node, salt), reverse=True)
+
+
+def audience(
+    rank: int, ranked: list[ids.NodeId], reaches_store: bool
+) -> list[ids.NodeId]:
+    """Return whom the node of a rank tells how far its copies go.
+
+    Whoever reaches the store tells the watchers and the first level
+    below them. A node that does not watch tells a block of ``FAN_OUT``
+    of its own and that of the node ranked next, so that the loss of one
+    parent cuts nobody off. The first such block has the last watcher
+    for its second parent.
+
+    >>> nodes = [f"n{number}" for number in range(14)]
+    >>> audience(0, nodes[:5], True)
+    ['n1', 'n2', 'n3', 'n4']
+    >>> audience(3, nodes, False)
+    ['n11', 'n12', 'n13']
+    """
+    first = WATCHERS + FAN_OUT
+    told = []
+    if reaches_store:
+        reach = first + FAN_OUT if rank == WATCHERS - 1 else first
+        told = ranked[:reach]
+    if rank >= WATCHERS:
+        start = first + (rank - WATCHERS) * FAN_OUT
+        told = told + ranked[start : start + 2 * FAN_OUT]
+    return [node for node in told if node != ranked[rank]]
 
 
 @functools.lru_cache(maxsize=16_384)
--- /dev/null
+++ b/packages/soak/src/godwitflow/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Real nodes under randomized faults, and the promises checked."""
--- a/packages/tier/src/godwitflow/tier/peers.py
+++ b/packages/tier/src/godwitflow/tier/peers.py
@@ -10,6 +10,7 @@
 from twisted.internet import protocol
 
 from godwitflow.model import errors
+from godwitflow.model import ids
 from godwitflow.policy import membership
 from godwitflow.tier import log as logs
 from godwitflow.wire import codec
@@ -88,6 +89,15 @@
             if row.node != self.table.me.node:
                 self._send(row.inner, [message])
 
+    def tell_nodes(
+        self, nodes: typing.Iterable[ids.NodeId], message: messages.Message
+    ) -> None:
+        """Send a message to some members."""
+        for node in nodes:
+            row = self.table.find(node)
+            if row is not None:
+                self._send(row.inner, [message])
+
     def tell_some(self, message: messages.Message, count: int) -> None:
         """Send a message to a few living members, drawn anew each time."""
         others = [
--- a/packages/tier/src/godwitflow/tier/replication.py
+++ b/packages/tier/src/godwitflow/tier/replication.py
@@ -1,9 +1,9 @@
 """Copies of the store's objects, shared between nodes.
 
-A few nodes follow the store. They tell every member how far their
-copies go, a few times a second and at each change; a member that is
-behind fetches what it lacks from the one that told it. A node that
-hears of no sound watcher follows the store itself.
+A few nodes follow the store. They tell some members how far their
+copies go, a few times a second and at each change, and these tell
+others; a member that is behind fetches what it lacks from the one that
+told it. A node that hears of no sound watcher follows the store itself.
 """
 
 import random
@@ -34,6 +34,7 @@
 BACKOFF_A_NODE_MS = 100.0
 LAPSE_AFTER_MS = 2_500.0
 ANNOUNCE_EVERY_MS = 300.0
+PASS_ON_EVERY_MS = 200.0
 IDLE_STEP_MS = 250.0
 START_STEP_MS = 20.0
 RANK_KEPT_MS = 500.0
@@ -50,8 +51,10 @@
         """Return the members that are not known to be dead."""
         ...
 
-    def tell(self, message: messages.Message) -> None:
-        """Send a message to every living member but this one."""
+    def tell_nodes(
+        self, nodes: typing.Iterable[ids.NodeId], message: messages.Message
+    ) -> None:
+        """Send a message to some members."""
         ...
 
 
@@ -91,6 +94,7 @@
         self._pools: dict[str, pool.Pool] = {}
         self._announced_at_ms = 0.0
         self._rank = 0
+        self._ranked: list[ids.NodeId] = []
         self._rank_until_ms = 0.0
         first_ms = now_ms() + first_wait_ms
         self.followers = {
@@ -111,7 +115,9 @@
         now_ms = self.now_ms()
         if now_ms >= self._rank_until_ms:
             living = [row.node for row in self.mates.living()]
-            self._rank = store_watch.rank(self.me, living, "store")
+            ranked = store_watch.ranking(self.me, living, "store")
+            self._rank = ranked.index(self.me)
+            self._ranked = ranked
             self._rank_until_ms = now_ms + RANK_KEPT_MS
         return self._rank
 
@@ -120,35 +126,39 @@
     def revisions(self) -> messages.Revisions:
         """Return how far this node's copies go."""
         return messages.Revisions(
-            tuple(
-                messages.KindRevision(
-                    kind, follower.copy.revision, follower.sound
-                )
-                for kind, follower in self.followers.items()
-            )
+            tuple(follower.revision() for follower in self.followers.values())
         )
 
     def tick(self) -> None:
-        """Tell the members, if this node follows the store."""
+        """Tell the audience, if this node knows what the store holds."""
         now_ms = self.now_ms()
         if now_ms - self._announced_at_ms < ANNOUNCE_EVERY_MS:
             return
         if any(follower.sound for follower in self.followers.values()):
-            self._announced_at_ms = now_ms
-            self.mates.tell(self.revisions())
+            self._announce()
+
+    def _announce(self) -> None:
+        rank = self.own_rank()
+        self._announced_at_ms = self.now_ms()
+        sound = any(follower.sound for follower in self.followers.values())
+        told = store_watch.audience(rank, self._ranked, sound)
+        if told:
+            self.mates.tell_nodes(told, self.revisions())
+
+    def pass_on(self) -> None:
+        """Pass on that the store was reached, soon after it was heard."""
+        if self.now_ms() - self._announced_at_ms >= PASS_ON_EVERY_MS:
+            self._announce()
 
     def took(
         self,
         kind: str,
         news: list[objects.Change],
         lapsed: bool,
-        from_store: bool,
     ) -> None:
-        """Hand on news, and tell the members of what the store brought."""
+        """Hand on news, and tell others of them at once."""
         self._taker.take(kind, news, lapsed)
-        if from_store:
-            self._announced_at_ms = self.now_ms()
-            self.mates.tell(self.revisions())
+        self._announce()
 
     # Hearing ------------------------------------------------------------
 
@@ -304,7 +314,7 @@
         if from_store:
             self.sound = True
         if news or first:
-            self._replication.took(self._kind, news, lapsed, from_store)
+            self._replication.took(self._kind, news, lapsed)
 
     def _note_heard(self) -> None:
         self.sound = True
@@ -338,15 +348,27 @@
 
     # Peers --------------------------------------------------------------
 
+    def revision(self) -> messages.KindRevision:
+        """Return how far the copy goes, and how old that is."""
+        age_ms = 0.0
+        if not self.sound:
+            age_ms = self._replication.now_ms() - self._covered_at_ms
+        covered = age_ms < store_watch.COVERED_MS
+        return messages.KindRevision(
+            self._kind, self.copy.revision, covered, round(age_ms, 1)
+        )
+
     def on_heard(self, inner: str, heard: messages.KindRevision) -> None:
         """Take a peer's word of how far its copy goes."""
         now_ms = self._replication.now_ms()
-        if heard.sound:
-            self._covered_at_ms = max(self._covered_at_ms, now_ms)
+        reached_at_ms = now_ms - max(0.0, heard.age_ms)
+        if heard.sound and reached_at_ms > self._covered_at_ms:
+            self._covered_at_ms = reached_at_ms
         if heard.revision <= self.copy.revision:
             if heard.sound:
-                self._heard_at_ms = now_ms
+                self._heard_at_ms = max(self._heard_at_ms, reached_at_ms)
                 self._behind_since_ms = None
+                self._replication.pass_on()
             return
         if self._behind_since_ms is None:
             self._behind_since_ms = now_ms
--- a/packages/wire/src/godwitflow/wire/messages.py
+++ b/packages/wire/src/godwitflow/wire/messages.py
@@ -254,12 +254,14 @@
 class KindRevision(msgspec.Struct, frozen=True, array_like=True):
     """How far a node's copy of a kind of the store's objects goes.
 
-    ``sound`` says that the node follows the store itself, and reaches it.
+    ``sound`` says that the node follows the store itself, or hears from
+    one that does; ``age_ms`` is how long ago the store was reached.
     """
 
     kind: str
     revision: int
     sound: bool
+    age_ms: float = 0.0
 
 
 class Revisions(msgspec.Struct, frozen=True, array_like=True, tag=18):
