Split the tier's large files by job; log unusable entries

Left by earlier work and mended: an upstream's entry that cannot be used is logged (registration_unusable), address answers are never kept longer than the settings allow (max_address_age_ms had no reader), Got.upstream is gone.

--- a/packages/tier/src/godwitflow/tier/dispatcher.py
+++ b/packages/tier/src/godwitflow/tier/dispatcher.py
@@ -23,8 +23,8 @@
 from godwitflow.tier import log as logs
 from godwitflow.tier import metrics
 from godwitflow.tier import pool
+from godwitflow.tier import services
 
-UNKNOWN_CAP = 8
 INITIAL_USUAL_SHARE = 0.15
 INITIAL_LATE_SHARE = 0.35
 LATE_QUANTILE = 0.88
@@ -34,88 +34,6 @@
     from godwitflow.tier import piece as pieces
 
 
-@dataclasses.dataclass(slots=True, eq=False)
-class Upstream:
-    """An upstream that may be given work."""
-
-    registration: registrations.Registration
-    pool: pool.Pool
-    health: replica_choice.ReplicaHealth
-    far: bool
-    misdirected: bool = False
-    calls: dict[int, float] = dataclasses.field(default_factory=dict)
-
-    def note_start(self, key: int, now_ms: float) -> None:
-        """Count a call as under way."""
-        self.calls[key] = now_ms
-        self.health.tried_at_ms = now_ms
-        self._refresh()
-
-    def note_end(self, key: int) -> None:
-        """Count a call as over."""
-        self.calls.pop(key, None)
-        self._refresh()
-
-    def _refresh(self) -> None:
-        self.health.in_flight = len(self.calls)
-        oldest = next(iter(self.calls.values()), None)
-        self.health.oldest_started_at_ms = oldest
-
-
-class Waiter(typing.Protocol):
-    """A call that waits for a place at an upstream."""
-
-    def resume(self) -> bool:
-        """Try to send again; False while there is still no place."""
-        ...
-
-
-class Service:
-    """The upstreams of one service, its budget and its queue."""
-
-    def __init__(
-        self,
-        name: ids.ServiceName,
-        limits: retry_budget.RetryLimits,
-    ) -> None:
-        self.name = name
-        self.cap = UNKNOWN_CAP
-        self.upstreams: list[Upstream] = []
-        self.budget = retry_budget.RetryBudget(limits)
-        self.waiting: list[tuple[int, int, Waiter]] = []
-        self._draining = False
-
-    def dark(self, now_ms: float) -> bool:
-        """Tell whether no upstream of the service can be expected to answer.
-
-        An upstream whose spell is over counts as sound again, so that
-        the next request tries it.
-        """
-        return all(
-            upstream.misdirected or upstream.health.dark(now_ms)
-            for upstream in self.upstreams
-        )
-
-    def doubtful(self, now_ms: float) -> bool:
-        """Tell whether every upstream must prove first that it is back."""
-        return all(
-            upstream.misdirected or upstream.health.doubtful(now_ms)
-            for upstream in self.upstreams
-        )
-
-    def drain(self) -> None:
-        """Let the most urgent waiting calls take the free places."""
-        if self._draining:
-            return
-        self._draining = True
-        while self.waiting:
-            entry = heapq.heappop(self.waiting)
-            if not entry[2].resume():
-                heapq.heappush(self.waiting, entry)
-                break
-        self._draining = False
-
-
 @dataclasses.dataclass(slots=True)
 class Pace:
     """How long a route's calls to one upstream take, in milliseconds.
@@ -158,8 +76,8 @@
         self.random = random.Random(seed)
         self._failure_domain = failure_domain
         self._limits = limits
-        self._services: dict[ids.ServiceName, Service] = {}
-        self._upstreams: dict[ids.UpstreamId, Upstream] = {}
+        self._services: dict[ids.ServiceName, services.Service] = {}
+        self._upstreams: dict[ids.UpstreamId, services.Upstream] = {}
         self._paces: dict[str, Pace] = {}
         self._keys = itertools.count()
         self._order = itertools.count()
@@ -189,7 +107,7 @@
         self._lives = 2 if recent else 1
         self._set_limits()
 
-    def _limit(self, service: Service) -> int:
+    def _limit(self, service: services.Service) -> int:
         return max(1, service.cap // (self.nodes * self._lives))
 
     def apply_retry_limits(self, limits: retry_budget.RetryLimits) -> None:
@@ -222,14 +140,14 @@
         for service in self._services.values():
             service.drain()
 
-    def _drop(self, name: ids.UpstreamId, upstream: Upstream) -> None:
+    def _drop(self, name: ids.UpstreamId, upstream: services.Upstream) -> None:
         del self._upstreams[name]
         service = self.service(upstream.registration.service)
         service.upstreams.remove(upstream)
         upstream.pool.limit = 0
         upstream.pool.close_idle()
 
-    def _add(self, entry: registrations.Registration) -> Upstream:
+    def _add(self, entry: registrations.Registration) -> services.Upstream:
         service = self.service(entry.service)
         places = pool.Pool(
             self.reactor,
@@ -239,7 +157,7 @@
             self.now_ms,
             service.drain,
         )
-        upstream = Upstream(
+        upstream = services.Upstream(
             entry,
             places,
             replica_choice.ReplicaHealth(seen_at_ms=self.now_ms()),
@@ -249,11 +167,11 @@
         service.upstreams.append(upstream)
         return upstream
 
-    def service(self, name: ids.ServiceName) -> Service:
+    def service(self, name: ids.ServiceName) -> services.Service:
         """Return a service, known or new."""
         found = self._services.get(name)
         if found is None:
-            found = Service(name, self._limits)
+            found = services.Service(name, self._limits)
             self._services[name] = found
         return found
 
@@ -274,8 +192,8 @@
     # Calls --------------------------------------------------------------
 
     def usable(
-        self, service: Service, used: set[ids.UpstreamId]
-    ) -> list[Upstream]:
+        self, service: services.Service, used: set[ids.UpstreamId]
+    ) -> list[services.Upstream]:
         """Return the upstreams that a call has not been sent to."""
         return [
             upstream
@@ -285,8 +203,8 @@
         ]
 
     def choose(
-        self, usable: list[Upstream], usual_ms: float
-    ) -> Upstream | None:
+        self, usable: list[services.Upstream], usual_ms: float
+    ) -> services.Upstream | None:
         """Choose among those with a free place; None where there is none."""
         candidates = []
         by_id = {}
@@ -304,7 +222,12 @@
         )
         return by_id[chosen.upstream] if chosen else None
 
-    def wait(self, service: Service, rank: ids.Rank, waiter: Waiter) -> None:
+    def wait(
+        self,
+        service: services.Service,
+        rank: ids.Rank,
+        waiter: services.Waiter,
+    ) -> None:
         """Queue a call until a place is free, urgent ones first."""
         entry = (int(rank), next(self._order), waiter)
         heapq.heappush(service.waiting, entry)
@@ -346,7 +269,7 @@
 
     def learn(
         self,
-        upstream: Upstream,
+        upstream: services.Upstream,
         pace: Pace,
         elapsed_ms: float,
         outcome: upstreams.Outcome,
@@ -367,7 +290,7 @@
 
     def _learn(
         self,
-        upstream: Upstream,
+        upstream: services.Upstream,
         pace: Pace,
         elapsed_ms: float,
         outcome: upstreams.Outcome,
--- /dev/null
+++ b/packages/tier/src/godwitflow/tier/enlistment.py
@@ -0,0 +1,87 @@
+"""Leaves a node's address in the store, for those that start later."""
+
+import typing
+
+from twisted.internet import task
+
+from godwitflow.model import errors
+from godwitflow.store import objects
+from godwitflow.tier import log as logs
+from godwitflow.tier import peers as peering
+from godwitflow.tier import settings as node_settings
+
+MEMBER_KIND = "members"
+MEMBER_RETRY_S = 2.0
+LONELY_AFTER_S = 0.4
+ENLIST_AFTER_S = 10.0
+
+
+class Enlistment:
+    """One node's entry among the members that the store lists."""
+
+    def __init__(
+        self,
+        reactor: typing.Any,
+        settings: node_settings.NodeSettings,
+        store: objects.ObjectStore,
+        peers: peering.Peers,
+        log: logs.Log,
+        stopping: typing.Callable[[], bool],
+    ) -> None:
+        self._reactor = reactor
+        self._settings = settings
+        self._store = store
+        self._peers = peers
+        self._log = log
+        self._stopping = stopping
+
+    async def run(self) -> None:
+        """Leave this node's address in the store for later starts.
+
+        At the first start of all there is nothing to read. Otherwise the
+        list, which may be stale, is read only once the seeds had time to
+        answer, or later to see that this node is in it.
+        """
+        first = self._settings.first_start
+        if not first:
+            await task.deferLater(self._reactor, LONELY_AFTER_S)
+            if len(self._peers.living()) > 1:
+                await task.deferLater(self._reactor, ENLIST_AFTER_S)
+        while not self._stopping():
+            try:
+                await self._enlist(known_absent=first)
+                return
+            except errors.StoreConflictError:
+                return
+            except errors.StoreError as error:
+                self._log.event("join_delayed", error=str(error))
+                await task.deferLater(self._reactor, MEMBER_RETRY_S)
+
+    async def _enlist(self, known_absent: bool) -> None:
+        settings = self._settings
+        spec = {
+            "inner": settings.inner,
+            "caller": settings.caller_address,
+            "failure_domain": settings.failure_domain,
+        }
+        if known_absent:
+            await self._store.create(MEMBER_KIND, settings.node, spec)
+            return
+        listing = await self._store.list(MEMBER_KIND, stale=True)
+        self._contact(listing)
+        known = {found.name: found for found in listing.objects}
+        mine = known.get(settings.node)
+        if mine is None:
+            await self._store.create(MEMBER_KIND, settings.node, spec)
+        elif mine.spec != spec:
+            await self._store.replace(MEMBER_KIND, settings.node, spec)
+
+    def _contact(self, listing: objects.Listing) -> None:
+        inner = [
+            found.spec["inner"]
+            for found in listing.objects
+            if found.spec is not None
+            and found.name != self._settings.node
+            and isinstance(found.spec.get("inner"), str)
+        ]
+        self._peers.contact(inner)
--- /dev/null
+++ b/packages/tier/src/godwitflow/tier/follower.py
@@ -0,0 +1,232 @@
+"""Keeps a node's copy of one kind of the store's objects up to date.
+
+From the store where that is this node's part, otherwise from peers that
+hold something newer.
+"""
+
+import random
+import typing
+
+from twisted.internet import defer
+from twisted.internet import task
+
+from godwitflow.model import errors
+from godwitflow.policy import copies
+from godwitflow.policy import store_watch
+from godwitflow.store import objects
+from godwitflow.tier import log as logs
+from godwitflow.wire import messages
+
+WATCH_WAIT_MS = 8_000.0
+FIRST_WATCH_WAIT_MS = 200.0  # soon shows that the store is reached
+SETTLE_MS = 250.0  # lets a burst of changes come as one watch
+BACKOFF_MIN_MS = 150.0
+BACKOFF_MAX_MS = 800.0
+BACKOFF_A_NODE_MS = 100.0
+LAPSE_AFTER_MS = 2_500.0
+IDLE_STEP_MS = 250.0
+START_STEP_MS = 20.0
+MS_PER_S = 1_000.0
+
+
+class Hub(typing.Protocol):
+    """What a follower needs of the task that shares all copies."""
+
+    reactor: typing.Any
+    store: objects.ObjectStore
+    log: logs.Log
+    stopped: bool
+
+    def now_ms(self) -> float:
+        """Return the steady clock's time."""
+        ...
+
+    def own_rank(self) -> int:
+        """Return this node's place among those that watch the store."""
+        ...
+
+    def living_count(self) -> int:
+        """Return how many members are not known to be dead."""
+        ...
+
+    def took(
+        self, kind: str, news: list[objects.Change], lapsed: bool
+    ) -> None:
+        """Hand on news."""
+        ...
+
+    def pass_on(self) -> None:
+        """Pass on that the store was reached."""
+        ...
+
+    async def fetch(self, inner: str, kind: str, after: int) -> copies.Delta:
+        """Fetch what a peer holds beyond a revision."""
+        ...
+
+
+class Follower:
+    """Keeps the copy of one kind up to date."""
+
+    def __init__(self, hub: Hub, kind: str, first_ms: float) -> None:
+        self.copy = copies.Copy(kind)
+        self.sound = False
+        self._hub = hub
+        self._kind = kind
+        self._first_ms = first_ms
+        self._covered_at_ms = first_ms - store_watch.COVERED_MS
+        self._heard_at_ms = first_ms
+        self._behind_since_ms: float | None = None
+        self._backoff_ms = BACKOFF_MIN_MS
+        self._next_try_ms = 0.0
+        self._lost = False
+        self._fetching = False
+
+    # The store ----------------------------------------------------------
+
+    async def run(self) -> None:
+        """Follow the store while that is this node's part."""
+        hub = self._hub
+        while not hub.stopped:
+            if not self._follows():
+                self.sound = False
+                known = self.copy.revision > 0
+                await self._sleep(IDLE_STEP_MS if known else START_STEP_MS)
+                continue
+            try:
+                await self._step()
+                self._note_heard()
+            except errors.StoreHistoryGoneError:
+                await self._try_list()
+            except errors.StoreError as error:
+                self._note_lost(error)
+
+    def _follows(self) -> bool:
+        now_ms = self._hub.now_ms()
+        if now_ms < self._next_try_ms:
+            return False
+        if self.copy.revision == 0:
+            return now_ms >= self._first_ms
+        behind_ms = 0.0
+        if self._behind_since_ms is not None:
+            behind_ms = now_ms - self._behind_since_ms
+        return store_watch.follows(
+            now_ms,
+            self._hub.own_rank(),
+            self._covered_at_ms,
+            behind_ms,
+        )
+
+    async def _step(self) -> None:
+        if self.copy.revision == 0:
+            await self._list()
+            return
+        after = self.copy.revision
+        wait_ms = WATCH_WAIT_MS if self.sound else FIRST_WATCH_WAIT_MS
+        found = await self._hub.store.watch(self._kind, after, wait_ms)
+        delta = copies.Delta(
+            self._kind, after, found.revision, False, found.changes
+        )
+        self._take(delta, from_store=True)
+        if found.changes:
+            await self._sleep(SETTLE_MS)
+
+    async def _try_list(self) -> None:
+        try:
+            await self._list()
+            self._note_heard()
+        except errors.StoreError as error:
+            self._note_lost(error)
+
+    async def _list(self) -> None:
+        listing = await self._hub.store.list(self._kind)
+        changes = tuple(
+            objects.Change(found, False) for found in listing.objects
+        )
+        delta = copies.Delta(self._kind, 0, listing.revision, True, changes)
+        self._take(delta, from_store=True)
+
+    def _take(self, delta: copies.Delta, from_store: bool) -> None:
+        silent_ms = self._hub.now_ms() - self._heard_at_ms
+        lapsed = self.copy.revision > 0 and silent_ms > LAPSE_AFTER_MS
+        if from_store and not lapsed:
+            lapsed = self._lost
+        first = self.copy.revision == 0
+        news = self.copy.take(delta)
+        if from_store:
+            self.sound = True
+        if news or first:
+            self._hub.took(self._kind, news, lapsed)
+
+    def _note_heard(self) -> None:
+        self.sound = True
+        self._heard_at_ms = self._hub.now_ms()
+        self._backoff_ms = BACKOFF_MIN_MS
+        self._behind_since_ms = None
+        if self._lost:
+            self._lost = False
+            self._hub.log.event("store_regained", kind=self._kind)
+
+    def _note_lost(self, error: errors.StoreError) -> None:
+        hub = self._hub
+        self.sound = False
+        if not self._lost:
+            self._lost = True
+            hub.log.event("store_lost", kind=self._kind, error=str(error))
+        if hub.own_rank() < store_watch.WATCHERS:
+            longest_ms = BACKOFF_MAX_MS
+        else:
+            nodes = hub.living_count()
+            longest_ms = max(BACKOFF_MAX_MS, BACKOFF_A_NODE_MS * nodes)
+            self._backoff_ms = longest_ms
+        wait_ms = self._backoff_ms * (0.5 + random.random())
+        self._backoff_ms = min(longest_ms, 1.6 * self._backoff_ms)
+        self._next_try_ms = hub.now_ms() + wait_ms
+
+    async def _sleep(self, wait_ms: float) -> None:
+        await task.deferLater(self._hub.reactor, wait_ms / MS_PER_S)
+
+    # Peers --------------------------------------------------------------
+
+    def revision(self) -> messages.KindRevision:
+        """Return how far the copy goes, and how old that is."""
+        age_ms = 0.0
+        if not self.sound:
+            age_ms = self._hub.now_ms() - self._covered_at_ms
+        covered = age_ms < store_watch.COVERED_MS
+        return messages.KindRevision(
+            self._kind, self.copy.revision, covered, round(age_ms, 1)
+        )
+
+    def on_heard(self, inner: str, heard: messages.KindRevision) -> None:
+        """Take a peer's word of how far its copy goes."""
+        now_ms = self._hub.now_ms()
+        reached_at_ms = now_ms - max(0.0, heard.age_ms)
+        if heard.sound and reached_at_ms > self._covered_at_ms:
+            self._covered_at_ms = reached_at_ms
+        if heard.revision <= self.copy.revision:
+            if heard.sound:
+                self._heard_at_ms = max(self._heard_at_ms, reached_at_ms)
+                self._behind_since_ms = None
+                self._hub.pass_on()
+            return
+        if self._behind_since_ms is None:
+            self._behind_since_ms = now_ms
+        if not self._fetching:
+            self._fetching = True
+            defer.ensureDeferred(self._fetch(inner, heard.sound))
+
+    async def _fetch(self, inner: str, sound: bool) -> None:
+        try:
+            delta = await self._hub.fetch(
+                inner, self._kind, self.copy.revision
+            )
+            self._take(delta, from_store=False)
+            self._behind_since_ms = None
+            if sound:
+                self._heard_at_ms = self._hub.now_ms()
+        except (errors.StoreError, errors.CodecError) as error:
+            self._hub.log.decision(
+                "fetch_failed", peer=inner, kind=self._kind, error=str(error)
+            )
+        finally:
+            self._fetching = False
--- a/packages/tier/src/godwitflow/tier/front.py
+++ b/packages/tier/src/godwitflow/tier/front.py
@@ -11,9 +11,10 @@
 from godwitflow.policy import routing
 from godwitflow.policy import strikes
 from godwitflow.tier import dispatcher as dispatching
+from godwitflow.tier import gather_run
 from godwitflow.tier import log as logs
 from godwitflow.tier import piece as pieces
-from godwitflow.tier import query
+from godwitflow.tier import single_run
 
 UNREADY_RETRY_S = 0.3
 CONDEMNED_RETRY_S = 30.0
@@ -105,7 +106,7 @@
             return
         match route.target:
             case routing.Gather() as gather:
-                query.GatherRun(
+                gather_run.GatherRun(
                     self.dispatcher, self.log, exchange, work
                 ).start(gather)
             case routing.Split() as split:
@@ -145,7 +146,7 @@
         work: pieces.Work,
         service: ids.ServiceName,
     ) -> None:
-        run = query.SingleRun(self.dispatcher, self.log, exchange, work)
+        run = single_run.SingleRun(self.dispatcher, self.log, exchange, work)
         run.start(service)
 
     def _work(
--- a/packages/tier/src/godwitflow/tier/query.py
+++ b/packages/tier/src/godwitflow/tier/gather_run.py
@@ -1,220 +1,24 @@
-"""A caller's request from its route to its answer.
+"""A request that is sent to every shard, and its answer from their parts.
 
-:class:`SingleRun` passes a request on to one service.
-:class:`GatherRun` sends it to every shard, and answers with all parts,
-or with what is in once waiting is worth less. It answers the load in
-which a few shards of a wide query are slow, paused or down.
+It answers the load in which a few shards of a wide query are slow,
+paused or down: with all parts, or with what is in once waiting is worth
+less.
 """
 
 import heapq
-import typing
 
-from godwitflow.http1 import callers
 from godwitflow.http1 import messages
 from godwitflow.model import ids
 from godwitflow.policy import gather_times
 from godwitflow.policy import routing
-from godwitflow.policy import strikes
-from godwitflow.tier import dispatcher as dispatching
-from godwitflow.tier import log as logs
 from godwitflow.tier import piece as pieces
+from godwitflow.tier import run
 
-MS_PER_S = 1_000.0
 RECORD_BYTES = 16
-SINGLE_LATE_MAX_SHARE = 0.6
-RETRY_AFTER_S = 0.15
 DARK_RETRY_AFTER_S = 0.4
-SUCCESS = range(200, 300)
-
-
-def _encoded(response: messages.Response) -> bool:
-    coding = messages.find(response.headers, b"content-encoding")
-    return coding is not None and coding.lower() != b"identity"
-
-
-class Run:
-    """What both kinds of run share: the answer, the timer, the end."""
-
-    def __init__(
-        self,
-        dispatcher: dispatching.Dispatcher,
-        log: logs.Log,
-        exchange: callers.Exchange,
-        work: pieces.Work,
-    ) -> None:
-        self.dispatcher = dispatcher
-        self.log = log
-        self.exchange = exchange
-        self.work = work
-        self.done = False
-        self._timer: typing.Any = None
-        exchange.on_gone = self._on_gone
-
-    def _at(self, at_ms: float, action: typing.Callable[[], None]) -> None:
-        """Run an action at a time, in place of the one planned before."""
-        self._stop_timer()
-        wait_s = max(0.0, at_ms - self.dispatcher.now_ms()) / MS_PER_S
-        self._timer = self.dispatcher.reactor.callLater(wait_s, action)
-
-    def _stop_timer(self) -> None:
-        if self._timer is not None and self._timer.active():
-            self._timer.cancel()
-        self._timer = None
-
-    def _answer(self, response: messages.Response) -> None:
-        self.done = True
-        self._stop_timer()
-        self._note_crashes()
-        figures = self.dispatcher.metrics
-        figures.count("answers", status=str(response.status))
-        route = self.work.route
-        elapsed_ms = self.dispatcher.now_ms() - self.work.received_at_ms
-        figures.record(route.name, str(route.priority), "query", elapsed_ms)
-        self.exchange.answer(response)
-
-    def _on_gone(self) -> None:
-        raise NotImplementedError
-
-    def _crashes(self) -> int:
-        """Return the upstreams that broke off, 0 if any answered well."""
-        raise NotImplementedError
-
-    def _note_crashes(self) -> None:
-        crashes = self._crashes()
-        strikes_seen = self.dispatcher.strikes
-        if not crashes and not strikes_seen.any:
-            return
-        request = self.exchange.request
-        mark = strikes.fingerprint(
-            request.method, request.target, request.body
-        )
-        if crashes:
-            self.dispatcher.note_strike(self.work, mark, crashes)
-        elif self._ran_well():
-            strikes_seen.clear(mark)
-
-    def _ran_well(self) -> bool:
-        raise NotImplementedError
-
-    def _note_gone(self) -> None:
-        """End without an answer, as the caller has left."""
-        self.done = True
-        self._stop_timer()
-        self._note_crashes()
-        self.dispatcher.metrics.count("callers_gone")
-        elapsed_ms = self.dispatcher.now_ms() - self.work.received_at_ms
-        self.log.decision(
-            "caller_gone",
-            request=self.work.request_text,
-            route=self.work.route.name,
-            elapsed_ms=round(elapsed_ms, 1),
-        )
-
-    def _refuse(
-        self, status: int, reason: str, retry_after_s: float | None = None
-    ) -> None:
-        elapsed_ms = self.dispatcher.now_ms() - self.work.received_at_ms
-        self.log.decision(
-            "refused",
-            request=self.work.request_text,
-            route=self.work.route.name,
-            attempts=self.work.route.attempts,
-            status=status,
-            reason=reason,
-            elapsed_ms=round(elapsed_ms, 1),
-            version=self.work.version,
-        )
-        self._answer(messages.own_response(status, reason, retry_after_s))
-
-
-class SingleRun(Run):
-    """Passes a request on to one service."""
-
-    def start(self, service: ids.ServiceName) -> None:
-        """Send the request."""
-        self._piece = pieces.Piece(
-            self.dispatcher,
-            self.work,
-            service,
-            self._good,
-            self._on_result,
-        )
-        self._piece.start()
-        if self.done:
-            return
-        if self.work.idempotent:
-            late_ms = self.dispatcher.pace(self.work.route).late.value
-            target_ms = self.work.route.target_ms
-            late_ms = min(late_ms, SINGLE_LATE_MAX_SHARE * target_ms)
-            now_ms = self.dispatcher.now_ms()
-            late_at_ms = min(now_ms + late_ms, self._final_at_ms())
-            self._at(late_at_ms, self._on_late)
-        else:
-            self._at(self._final_at_ms(), self._on_final)
-
-    def _good(self, response: messages.Response) -> bool:
-        return response.status < 500 and self._proven(response)
-
-    def _proven(self, response: messages.Response) -> bool:
-        """Tell whether a response is whole and signed, if a success."""
-        if _encoded(response):
-            return False
-        signature = self.dispatcher.names.signature
-        signed = messages.find(response.headers, signature) is not None
-        return signed or response.status not in SUCCESS
 
-    def _crashes(self) -> int:
-        return 0 if self._ran_well() else self._piece.crashes
-
-    def _ran_well(self) -> bool:
-        return isinstance(self._piece.result, pieces.Got)
-
-    def _final_at_ms(self) -> float:
-        return self.work.deadline_at_ms - gather_times.FINAL_MARGIN_MS
 
-    def _on_late(self) -> None:
-        self._piece.hedge()
-        self._at(self._final_at_ms(), self._on_final)
-
-    def _on_final(self) -> None:
-        ran = self._piece.exposed
-        self._piece.cancel()
-        if ran:
-            self._refuse(504, "the request timed out")
-        else:
-            self._refuse(503, "no upstream had room in time", RETRY_AFTER_S)
-
-    def _on_result(self, piece: pieces.Piece, result: pieces.Result) -> None:
-        match result:
-            case pieces.Got(response, _) if not self._proven(response):
-                self._refuse(502, "the upstream's answer was malformed")
-            case pieces.Got(response, _):
-                headers = messages.end_to_end(response.headers)
-                if self.exchange.request.method == b"HEAD":
-                    headers += _length(response)
-                self._answer(
-                    messages.Response(
-                        response.status,
-                        response.reason,
-                        headers,
-                        response.body,
-                    )
-                )
-            case pieces.Nothing(lack, ran):
-                if ran:
-                    self._refuse(502, f"upstream call failed: {lack.value}")
-                else:
-                    self._refuse(503, f"not run: {lack.value}", RETRY_AFTER_S)
-
-    def _on_gone(self) -> None:
-        self._note_gone()
-        if self.work.idempotent:
-            self._piece.cancel()
-        else:
-            self._piece.abandon()
-
-
-class GatherRun(Run):
+class GatherRun(run.Run):
     """Sends a request to every shard and merges the parts."""
 
     def start(self, gather: routing.Gather) -> None:
@@ -273,9 +77,9 @@
     def _good_part(self, response: messages.Response) -> bool:
         names = self.dispatcher.names
         return (
-            response.status in SUCCESS
+            response.status in run.SUCCESS
             and messages.find(response.headers, names.signature) is not None
-            and not _encoded(response)
+            and not run.encoded(response)
         )
 
     def _crashes(self) -> int:
@@ -313,13 +117,13 @@
         if ran:
             self._refuse(504, "too few shards answered in time")
         else:
-            self._refuse(503, "no shard had room in time", RETRY_AFTER_S)
+            self._refuse(503, "no shard had room in time", run.RETRY_AFTER_S)
 
     # Parts --------------------------------------------------------------
 
     def _on_result(self, piece: pieces.Piece, result: pieces.Result) -> None:
         match result:
-            case pieces.Got(response, _) if self._good_part(response):
+            case pieces.Got(response) if self._good_part(response):
                 self._parts.append((piece.service.name, response))
             case _:
                 self._failed += 1
@@ -370,7 +174,7 @@
         if ran:
             self._refuse(502, text)
         else:
-            self._refuse(503, text, RETRY_AFTER_S)
+            self._refuse(503, text, run.RETRY_AFTER_S)
 
     def _answer_parts(self) -> None:
         names = self.dispatcher.names
@@ -450,8 +254,3 @@
         for start in range(0, len(body) - RECORD_BYTES + 1, RECORD_BYTES)
     ]
     return b"".join(heapq.nlargest(count, records))
-
-
-def _length(response: messages.Response) -> messages.Headers:
-    length = messages.find(response.headers, b"content-length")
-    return [] if length is None else [(b"Content-Length", length)]
--- a/packages/tier/src/godwitflow/tier/mirror.py
+++ b/packages/tier/src/godwitflow/tier/mirror.py
@@ -118,10 +118,15 @@
             self._reactor.callLater(wait_s + EXPIRY_MARGIN_S, self._expire)
 
     def _entry(self, found: objects.Object) -> registrations.Entry:
+        registration = self._formats.registration(found)
+        if registration is None:
+            self._log.decision(
+                "registration_unusable",
+                upstream=found.name,
+                revision=found.revision,
+            )
         return registrations.Entry(
-            ids.UpstreamId(found.name),
-            found.revision,
-            self._formats.registration(found),
+            ids.UpstreamId(found.name), found.revision, registration
         )
 
     def _expire(self) -> None:
--- a/packages/tier/src/godwitflow/tier/node.py
+++ b/packages/tier/src/godwitflow/tier/node.py
@@ -13,7 +13,6 @@
 
 from godwitflow.http1 import callers
 from godwitflow.http1 import messages as http_messages
-from godwitflow.model import errors
 from godwitflow.model import ids
 from godwitflow.policy import addresses
 from godwitflow.policy import node_load
@@ -21,6 +20,7 @@
 from godwitflow.policy import routing
 from godwitflow.store import objects
 from godwitflow.tier import dispatcher as dispatching
+from godwitflow.tier import enlistment
 from godwitflow.tier import front as fronts
 from godwitflow.tier import headers
 from godwitflow.tier import health_exchange
@@ -32,14 +32,11 @@
 from godwitflow.tier import settings as node_settings
 from godwitflow.wire import messages
 
+MS_PER_S = 1_000.0
 SWEEP_S = 0.5
-MEMBER_KIND = "members"
-MEMBER_RETRY_S = 2.0
-LONELY_AFTER_S = 0.4
 RECENT_START_S = 5.0
 FIRST_START_WAIT_MS = 1_500.0
 RESTART_WAIT_MS = 120.0
-ENLIST_AFTER_S = 10.0
 BACKLOG = 512
 ADDRESS_AGE_S = 2.0
 STOP_STEP_S = 0.1
@@ -90,7 +87,6 @@
         self._reactor = reactor
         self._now_ms = now_ms
         self._settings = settings
-        self._store = store
         self._callers_directory = directory
         self._log = log
         self.metrics = metrics.Metrics()
@@ -153,6 +149,14 @@
             log,
             _first_wait_ms(settings),
         )
+        self._enlistment = enlistment.Enlistment(
+            reactor,
+            settings,
+            store,
+            self.peers,
+            log,
+            lambda: self.stage is Stage.STOPPING,
+        )
         self._callers = fronts.Listener(now_ms, self._handle)
         self._ready = fronts.Listener(now_ms, self._on_ready_check)
         self._directory = fronts.Listener(now_ms, self._on_resolve)
@@ -190,7 +194,7 @@
         )
         self.replication.start()
         self.peers.tick()
-        defer.ensureDeferred(self._join())
+        defer.ensureDeferred(self._enlistment.run())
         self._log.event("started", settings=repr(settings))
         return self._stopped
 
@@ -213,57 +217,6 @@
         self._log.event("task_failed", error=failure.getTraceback())
         self._reactor.stop()
 
-    async def _join(self) -> None:
-        """Leave this node's address in the store for later starts.
-
-        At the first start of all there is nothing to read. Otherwise the
-        list, which may be stale, is read only once the seeds had time to
-        answer, or later to see that this node is in it.
-        """
-        first = self._settings.first_start
-        if not first:
-            await task.deferLater(self._reactor, LONELY_AFTER_S)
-            if len(self.peers.living()) > 1:
-                await task.deferLater(self._reactor, ENLIST_AFTER_S)
-        while self.stage is not Stage.STOPPING:
-            try:
-                await self._enlist(known_absent=first)
-                return
-            except errors.StoreConflictError:
-                return
-            except errors.StoreError as error:
-                self._log.event("join_delayed", error=str(error))
-                await task.deferLater(self._reactor, MEMBER_RETRY_S)
-
-    async def _enlist(self, known_absent: bool) -> None:
-        settings = self._settings
-        spec = {
-            "inner": settings.inner,
-            "caller": settings.caller_address,
-            "failure_domain": settings.failure_domain,
-        }
-        if known_absent:
-            await self._store.create(MEMBER_KIND, settings.node, spec)
-            return
-        listing = await self._store.list(MEMBER_KIND, stale=True)
-        self._contact(listing)
-        known = {found.name: found for found in listing.objects}
-        mine = known.get(settings.node)
-        if mine is None:
-            await self._store.create(MEMBER_KIND, settings.node, spec)
-        elif mine.spec != spec:
-            await self._store.replace(MEMBER_KIND, settings.node, spec)
-
-    def _contact(self, listing: objects.Listing) -> None:
-        inner = [
-            found.spec["inner"]
-            for found in listing.objects
-            if found.spec is not None
-            and found.name != self._settings.node
-            and isinstance(found.spec.get("inner"), str)
-        ]
-        self.peers.contact(inner)
-
     # News ---------------------------------------------------------------
 
     def apply_settings(self, settings: node_settings.NodeSettings) -> None:
@@ -362,7 +315,9 @@
                 http_messages.own_response(503, "no node is ready", 0.2)
             )
             return
-        exchange.answer(self._callers_directory.answer(chosen, ADDRESS_AGE_S))
+        most_s = self._settings.bounds.max_address_age_ms / MS_PER_S
+        age_s = min(ADDRESS_AGE_S, most_s)
+        exchange.answer(self._callers_directory.answer(chosen, age_s))
 
     def _on_scrape(self, exchange: callers.Exchange) -> None:
         """Answer with every counter and latency as text."""
--- a/packages/tier/src/godwitflow/tier/piece.py
+++ b/packages/tier/src/godwitflow/tier/piece.py
@@ -15,8 +15,10 @@
 from godwitflow.model import ids
 from godwitflow.policy import routing
 from godwitflow.tier import dispatcher as dispatching
+from godwitflow.tier import services
 
 LINGER_MS = 600.0
+MS_PER_S = 1_000.0
 MISDIRECTED = 421
 SERVER_ERROR = 500
 
@@ -66,7 +68,6 @@
     """The response of an upstream, whatever its status."""
 
     response: messages.Response
-    upstream: ids.UpstreamId
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -82,7 +83,7 @@
 
 @dataclasses.dataclass(slots=True, eq=False)
 class _Live:
-    upstream: dispatching.Upstream
+    upstream: services.Upstream
     started_at_ms: float
     connection: upstreams.UpstreamConnection | None = None
 
@@ -150,7 +151,7 @@
             self.waiting = True
             self.dispatcher.wait(self.service, self.work.route.priority, self)
 
-    def _send(self, usable: list[dispatching.Upstream]) -> bool:
+    def _send(self, usable: list[services.Upstream]) -> bool:
         upstream = self.dispatcher.choose(usable, self._pace.usual.value)
         if upstream is None:
             return False
@@ -176,14 +177,14 @@
             self.hedge()  # a trial must not cost its request time
         return True
 
-    def _withdraw(self, key: int, upstream: dispatching.Upstream) -> None:
+    def _withdraw(self, key: int, upstream: services.Upstream) -> None:
         """Undo a start whose place was taken by another call meanwhile."""
         del self._live[key]
         self._used.discard(upstream.registration.upstream)
         self.sends -= 1
         upstream.note_end(key)
 
-    def _bytes(self, upstream: dispatching.Upstream, now_ms: float) -> bytes:
+    def _bytes(self, upstream: services.Upstream, now_ms: float) -> bytes:
         names = self.dispatcher.names
         left_ms = max(1, int(self.work.deadline_at_ms - now_ms))
         return b"%b%b: %d\r\n%b: %b\r\n%b" % (
@@ -264,7 +265,7 @@
                 self._again(arrived=True)
             case upstreams.Replied(response):
                 self.may_have_run = True
-                self._take_response(live, response)
+                self._take_response(response)
             case upstreams.Broken(fault, sent):
                 if sent and fault is upstreams.Fault.CONNECTION_LOST:
                     self.crashes += 1
@@ -304,10 +305,9 @@
             case _:
                 return False
 
-    def _take_response(self, live: _Live, response: messages.Response) -> None:
-        upstream = live.upstream.registration.upstream
+    def _take_response(self, response: messages.Response) -> None:
         if self._wanted(response):
-            self._finish(Got(response, upstream))
+            self._finish(Got(response))
             return
         self._lack = Lack.FAILED
         if self._failure is None:
@@ -336,7 +336,7 @@
         if self._live or self.result is not None:
             return
         if self._failure is not None:
-            self._finish(Got(self._failure, ids.UpstreamId("")))
+            self._finish(Got(self._failure))
         else:
             self._finish(Nothing(self._lack, self.may_have_run))
 
@@ -365,15 +365,14 @@
         if self.result is None:
             self.result = Nothing(self._lack, self.may_have_run)
             self.waiting = False
-        for live in list(self._live.values()):
-            if live.connection is not None:
-                live.connection.cancel()
+        self._cut()
 
     def _linger(self) -> None:
         if not self._live or self._lingering:
             return
         self._lingering = True
-        self.dispatcher.reactor.callLater(LINGER_MS / 1_000.0, self._cut)
+        wait_s = LINGER_MS / MS_PER_S
+        self.dispatcher.reactor.callLater(wait_s, self._cut)
 
     def _cut(self) -> None:
         """Stop calls that linger."""
--- a/packages/tier/src/godwitflow/tier/replication.py
+++ b/packages/tier/src/godwitflow/tier/replication.py
@@ -6,12 +6,10 @@
 told it. A node that hears of no sound watcher follows the store itself.
 """
 
-import random
 import typing
 import urllib.parse
 
 from twisted.internet import defer
-from twisted.internet import task
 
 from godwitflow.http1 import callers
 from godwitflow.http1 import messages as http_messages
@@ -21,26 +19,17 @@
 from godwitflow.policy import copies
 from godwitflow.policy import store_watch
 from godwitflow.store import objects
+from godwitflow.tier import follower as follow
 from godwitflow.tier import log as logs
 from godwitflow.tier import pool
 from godwitflow.wire import codec
 from godwitflow.wire import messages
 
-WATCH_WAIT_MS = 8_000.0
-FIRST_WATCH_WAIT_MS = 200.0  # soon shows that the store is reached
-SETTLE_MS = 250.0  # lets a burst of changes come as one watch
-BACKOFF_MIN_MS = 150.0
-BACKOFF_MAX_MS = 800.0
-BACKOFF_A_NODE_MS = 100.0
-LAPSE_AFTER_MS = 2_500.0
 ANNOUNCE_EVERY_MS = 300.0
 PASS_ON_EVERY_MS = 200.0
-IDLE_STEP_MS = 250.0
-START_STEP_MS = 20.0
 RANK_KEPT_MS = 500.0
 FETCH_TIMEOUT_MS = 500.0
 FETCH_CONNECTIONS = 4
-MS_PER_S = 1_000.0
 STATE_PATH = b"/state/"
 
 
@@ -98,7 +87,7 @@
         self._rank_until_ms = 0.0
         first_ms = now_ms() + first_wait_ms
         self.followers = {
-            kind: Follower(self, kind, first_ms) for kind in kinds
+            kind: follow.Follower(self, kind, first_ms) for kind in kinds
         }
 
     def start(self) -> None:
@@ -121,6 +110,10 @@
             self._rank_until_ms = now_ms + RANK_KEPT_MS
         return self._rank
 
+    def living_count(self) -> int:
+        """Return how many members are not known to be dead."""
+        return len(self.mates.living())
+
     # Telling ------------------------------------------------------------
 
     def revisions(self) -> messages.Revisions:
@@ -221,178 +214,6 @@
                 )
 
 
-class Follower:
-    """Keeps the copy of one kind up to date."""
-
-    def __init__(
-        self, replication: Replication, kind: str, first_ms: float
-    ) -> None:
-        self.copy = copies.Copy(kind)
-        self.sound = False
-        self._replication = replication
-        self._kind = kind
-        self._first_ms = first_ms
-        self._covered_at_ms = first_ms - store_watch.COVERED_MS
-        self._heard_at_ms = first_ms
-        self._behind_since_ms: float | None = None
-        self._backoff_ms = BACKOFF_MIN_MS
-        self._next_try_ms = 0.0
-        self._lost = False
-        self._fetching = False
-
-    # The store ----------------------------------------------------------
-
-    async def run(self) -> None:
-        """Follow the store while that is this node's part."""
-        replication = self._replication
-        while not replication.stopped:
-            if not self._follows():
-                self.sound = False
-                known = self.copy.revision > 0
-                await self._sleep(IDLE_STEP_MS if known else START_STEP_MS)
-                continue
-            try:
-                await self._step()
-                self._note_heard()
-            except errors.StoreHistoryGoneError:
-                await self._try_list()
-            except errors.StoreError as error:
-                self._note_lost(error)
-
-    def _follows(self) -> bool:
-        now_ms = self._replication.now_ms()
-        if now_ms < self._next_try_ms:
-            return False
-        if self.copy.revision == 0:
-            return now_ms >= self._first_ms
-        behind_ms = 0.0
-        if self._behind_since_ms is not None:
-            behind_ms = now_ms - self._behind_since_ms
-        return store_watch.follows(
-            now_ms,
-            self._replication.own_rank(),
-            self._covered_at_ms,
-            behind_ms,
-        )
-
-    async def _step(self) -> None:
-        if self.copy.revision == 0:
-            await self._list()
-            return
-        after = self.copy.revision
-        wait_ms = WATCH_WAIT_MS if self.sound else FIRST_WATCH_WAIT_MS
-        found = await self._replication.store.watch(self._kind, after, wait_ms)
-        delta = copies.Delta(
-            self._kind, after, found.revision, False, found.changes
-        )
-        self._take(delta, from_store=True)
-        if found.changes:
-            await self._sleep(SETTLE_MS)
-
-    async def _try_list(self) -> None:
-        try:
-            await self._list()
-            self._note_heard()
-        except errors.StoreError as error:
-            self._note_lost(error)
-
-    async def _list(self) -> None:
-        listing = await self._replication.store.list(self._kind)
-        changes = tuple(
-            objects.Change(found, False) for found in listing.objects
-        )
-        delta = copies.Delta(self._kind, 0, listing.revision, True, changes)
-        self._take(delta, from_store=True)
-
-    def _take(self, delta: copies.Delta, from_store: bool) -> None:
-        silent_ms = self._replication.now_ms() - self._heard_at_ms
-        lapsed = self.copy.revision > 0 and silent_ms > LAPSE_AFTER_MS
-        if from_store and not lapsed:
-            lapsed = self._lost
-        first = self.copy.revision == 0
-        news = self.copy.take(delta)
-        if from_store:
-            self.sound = True
-        if news or first:
-            self._replication.took(self._kind, news, lapsed)
-
-    def _note_heard(self) -> None:
-        self.sound = True
-        self._heard_at_ms = self._replication.now_ms()
-        self._backoff_ms = BACKOFF_MIN_MS
-        self._behind_since_ms = None
-        if self._lost:
-            self._lost = False
-            self._replication.log.event("store_regained", kind=self._kind)
-
-    def _note_lost(self, error: errors.StoreError) -> None:
-        replication = self._replication
-        self.sound = False
-        if not self._lost:
-            self._lost = True
-            replication.log.event(
-                "store_lost", kind=self._kind, error=str(error)
-            )
-        if replication.own_rank() < store_watch.WATCHERS:
-            longest_ms = BACKOFF_MAX_MS
-        else:
-            nodes = len(replication.mates.living())
-            longest_ms = max(BACKOFF_MAX_MS, BACKOFF_A_NODE_MS * nodes)
-            self._backoff_ms = longest_ms
-        wait_ms = self._backoff_ms * (0.5 + random.random())
-        self._backoff_ms = min(longest_ms, 1.6 * self._backoff_ms)
-        self._next_try_ms = replication.now_ms() + wait_ms
-
-    async def _sleep(self, wait_ms: float) -> None:
-        await task.deferLater(self._replication.reactor, wait_ms / MS_PER_S)
-
-    # Peers --------------------------------------------------------------
-
-    def revision(self) -> messages.KindRevision:
-        """Return how far the copy goes, and how old that is."""
-        age_ms = 0.0
-        if not self.sound:
-            age_ms = self._replication.now_ms() - self._covered_at_ms
-        covered = age_ms < store_watch.COVERED_MS
-        return messages.KindRevision(
-            self._kind, self.copy.revision, covered, round(age_ms, 1)
-        )
-
-    def on_heard(self, inner: str, heard: messages.KindRevision) -> None:
-        """Take a peer's word of how far its copy goes."""
-        now_ms = self._replication.now_ms()
-        reached_at_ms = now_ms - max(0.0, heard.age_ms)
-        if heard.sound and reached_at_ms > self._covered_at_ms:
-            self._covered_at_ms = reached_at_ms
-        if heard.revision <= self.copy.revision:
-            if heard.sound:
-                self._heard_at_ms = max(self._heard_at_ms, reached_at_ms)
-                self._behind_since_ms = None
-                self._replication.pass_on()
-            return
-        if self._behind_since_ms is None:
-            self._behind_since_ms = now_ms
-        if not self._fetching:
-            self._fetching = True
-            defer.ensureDeferred(self._fetch(inner, heard.sound))
-
-    async def _fetch(self, inner: str, sound: bool) -> None:
-        try:
-            delta = await self._replication.fetch(
-                inner, self._kind, self.copy.revision
-            )
-            self._take(delta, from_store=False)
-            self._behind_since_ms = None
-            if sound:
-                self._heard_at_ms = self._replication.now_ms()
-        except (errors.StoreError, errors.CodecError) as error:
-            self._replication.log.decision(
-                "fetch_failed", peer=inner, kind=self._kind, error=str(error)
-            )
-        finally:
-            self._fetching = False
-
-
 def _to_wire(delta: copies.Delta) -> messages.Delta:
     return messages.Delta(
         delta.kind,
--- /dev/null
+++ b/packages/tier/src/godwitflow/tier/single_run.py
@@ -0,0 +1,105 @@
+"""A request that is passed on to one service."""
+
+from godwitflow.http1 import messages
+from godwitflow.model import ids
+from godwitflow.policy import gather_times
+from godwitflow.tier import piece as pieces
+from godwitflow.tier import run
+
+LATE_MAX_SHARE = 0.6
+
+
+class SingleRun(run.Run):
+    """Passes a request on to one service."""
+
+    def start(self, service: ids.ServiceName) -> None:
+        """Send the request."""
+        self._piece = pieces.Piece(
+            self.dispatcher,
+            self.work,
+            service,
+            self._good,
+            self._on_result,
+        )
+        self._piece.start()
+        if self.done:
+            return
+        if self.work.idempotent:
+            late_ms = self.dispatcher.pace(self.work.route).late.value
+            target_ms = self.work.route.target_ms
+            late_ms = min(late_ms, LATE_MAX_SHARE * target_ms)
+            now_ms = self.dispatcher.now_ms()
+            late_at_ms = min(now_ms + late_ms, self._final_at_ms())
+            self._at(late_at_ms, self._on_late)
+        else:
+            self._at(self._final_at_ms(), self._on_final)
+
+    def _good(self, response: messages.Response) -> bool:
+        return response.status < 500 and self._proven(response)
+
+    def _proven(self, response: messages.Response) -> bool:
+        """Tell whether a response is whole and signed, if a success."""
+        if run.encoded(response):
+            return False
+        signature = self.dispatcher.names.signature
+        signed = messages.find(response.headers, signature) is not None
+        return signed or response.status not in run.SUCCESS
+
+    def _crashes(self) -> int:
+        return 0 if self._ran_well() else self._piece.crashes
+
+    def _ran_well(self) -> bool:
+        return isinstance(self._piece.result, pieces.Got)
+
+    def _final_at_ms(self) -> float:
+        return self.work.deadline_at_ms - gather_times.FINAL_MARGIN_MS
+
+    def _on_late(self) -> None:
+        self._piece.hedge()
+        self._at(self._final_at_ms(), self._on_final)
+
+    def _on_final(self) -> None:
+        ran = self._piece.exposed
+        self._piece.cancel()
+        if ran:
+            self._refuse(504, "the request timed out")
+        else:
+            self._refuse(
+                503, "no upstream had room in time", run.RETRY_AFTER_S
+            )
+
+    def _on_result(self, piece: pieces.Piece, result: pieces.Result) -> None:
+        match result:
+            case pieces.Got(response) if not self._proven(response):
+                self._refuse(502, "the upstream's answer was malformed")
+            case pieces.Got(response):
+                headers = messages.end_to_end(response.headers)
+                if self.exchange.request.method == b"HEAD":
+                    headers += _length(response)
+                self._answer(
+                    messages.Response(
+                        response.status,
+                        response.reason,
+                        headers,
+                        response.body,
+                    )
+                )
+            case pieces.Nothing(lack, ran):
+                if ran:
+                    self._refuse(502, f"upstream call failed: {lack.value}")
+                else:
+                    self._refuse(
+                        503, f"not run: {lack.value}", run.RETRY_AFTER_S
+                    )
+
+    def _on_gone(self) -> None:
+        self._note_gone()
+        if self.work.idempotent:
+            self._piece.cancel()
+        else:
+            self._piece.abandon()
+
+
+def _length(response: messages.Response) -> messages.Headers:
+    length = messages.find(response.headers, b"content-length")
+    return [] if length is None else [(b"Content-Length", length)]
--- a/packages/tier/tests/test_node.py
+++ b/packages/tier/tests/test_node.py
@@ -1,5 +1,6 @@
 """Tests of a node's life: start, readiness, addresses, stop."""
 
+import dataclasses
 import unittest
 
 import net
@@ -37,6 +38,8 @@
         )
 
     def registration(self, found):
+        if "address" not in found.spec:
+            return None
         upstream = net.Upstream(found.name, "one", found.spec["address"])
         return upstream.registration()
 
@@ -48,7 +51,8 @@
         return None
 
     def answer(self, addresses, age_s):
-        return http_messages.own_response(200, ",".join(addresses))
+        text = f"{','.join(addresses)} kept {age_s}"
+        return http_messages.own_response(200, text)
 
 
 class Port:
@@ -172,6 +176,29 @@
         self.assertIn(b"whole", life.ask(1, b"/one/"))
         self.assertIn(b"answers_total", life.ask(4))
 
+    def test_entry_that_cannot_be_used_is_logged_and_harms_nothing(self):
+        life = Life()
+        life.fill()
+        life.store.write("upstreams", "odd", {"state": 7})
+        life.run(1_000.0)
+        unusable = [
+            row["upstream"]
+            for event, row in life.log.lines
+            if event == "registration_unusable"
+        ]
+        self.assertEqual(["odd"], unusable)
+        self.assertIn(b"whole", life.ask(1, b"/one/"))
+
+    def test_addresses_are_never_kept_longer_than_the_settings_allow(self):
+        life = Life()
+        life.fill()
+        life.run(1_000.0)
+        self.assertIn(b"kept 2.0", life.ask(3))
+        found = life.node._settings
+        bounds = dataclasses.replace(found.bounds, max_address_age_ms=700.0)
+        life.node.apply_settings(dataclasses.replace(found, bounds=bounds))
+        self.assertIn(b"kept 0.7", life.ask(3))
+
     def test_first_start_leaves_the_nodes_address_in_the_store(self):
         life = Life()
         life.run(100.0)
@@ -251,15 +278,6 @@
         changed = settings.Bounds(
             GRACE_MS, 1.0, retry_budget.RetryLimits(0.0, 0.0, 10_000.0)
         )
-        life.node.apply_settings(
-            settings.NodeSettings(
-                **{
-                    name: getattr(found, name)
-                    for name in found.__dataclass_fields__
-                    if name != "bounds"
-                },
-                bounds=changed,
-            )
-        )
+        life.node.apply_settings(dataclasses.replace(found, bounds=changed))
         budget = life.node.dispatcher.service("one").budget
         self.assertFalse(budget.take(0.0, 1, 0))
