--- a/packages/tier/src/godwitflow/tier/follower.py
+++ b/packages/tier/src/godwitflow/tier/follower.py
@@ -29,7 +29,7 @@
 MS_PER_S = 1_000.0
 
 
-class Hub(typing.Protocol):
+class Sharer(typing.Protocol):
     """What a follower needs of the task that shares all copies."""
 
     reactor: typing.Any
@@ -67,10 +67,10 @@
 class Follower:
     """Keeps the copy of one kind up to date."""
 
-    def __init__(self, hub: Hub, kind: str, first_ms: float) -> None:
+    def __init__(self, sharer: Sharer, kind: str, first_ms: float) -> None:
         self.copy = copies.Copy(kind)
         self.sound = False
-        self._hub = hub
+        self._sharer = sharer
         self._kind = kind
         self._first_ms = first_ms
         self._covered_at_ms = first_ms - store_watch.COVERED_MS
@@ -85,8 +85,8 @@
 
     async def run(self) -> None:
         """Follow the store while that is this node's part."""
-        hub = self._hub
-        while not hub.stopped:
+        sharer = self._sharer
+        while not sharer.stopped:
             if not self._follows():
                 self.sound = False
                 known = self.copy.revision > 0
@@ -101,7 +101,7 @@
                 self._note_lost(error)
 
     def _follows(self) -> bool:
-        now_ms = self._hub.now_ms()
+        now_ms = self._sharer.now_ms()
         if now_ms < self._next_try_ms:
             return False
         if self.copy.revision == 0:
@@ -111,7 +111,7 @@
             behind_ms = now_ms - self._behind_since_ms
         return store_watch.follows(
             now_ms,
-            self._hub.own_rank(),
+            self._sharer.own_rank(),
             self._covered_at_ms,
             behind_ms,
         )
@@ -122,7 +122,7 @@
             return
         after = self.copy.revision
         wait_ms = WATCH_WAIT_MS if self.sound else FIRST_WATCH_WAIT_MS
-        found = await self._hub.store.watch(self._kind, after, wait_ms)
+        found = await self._sharer.store.watch(self._kind, after, wait_ms)
         delta = copies.Delta(
             self._kind, after, found.revision, False, found.changes
         )
@@ -138,7 +138,7 @@
             self._note_lost(error)
 
     async def _list(self) -> None:
-        listing = await self._hub.store.list(self._kind)
+        listing = await self._sharer.store.list(self._kind)
         changes = tuple(
             objects.Change(found, False) for found in listing.objects
         )
@@ -146,7 +146,7 @@
         self._take(delta, from_store=True)
 
     def _take(self, delta: copies.Delta, from_store: bool) -> None:
-        silent_ms = self._hub.now_ms() - self._heard_at_ms
+        silent_ms = self._sharer.now_ms() - self._heard_at_ms
         lapsed = self.copy.revision > 0 and silent_ms > LAPSE_AFTER_MS
         if from_store and not lapsed:
             lapsed = self._lost
@@ -155,35 +155,35 @@
         if from_store:
             self.sound = True
         if news or first:
-            self._hub.took(self._kind, news, lapsed)
+            self._sharer.took(self._kind, news, lapsed)
 
     def _note_heard(self) -> None:
         self.sound = True
-        self._heard_at_ms = self._hub.now_ms()
+        self._heard_at_ms = self._sharer.now_ms()
         self._backoff_ms = BACKOFF_MIN_MS
         self._behind_since_ms = None
         if self._lost:
             self._lost = False
-            self._hub.log.event("store_regained", kind=self._kind)
+            self._sharer.log.event("store_regained", kind=self._kind)
 
     def _note_lost(self, error: errors.StoreError) -> None:
-        hub = self._hub
+        sharer = self._sharer
         self.sound = False
         if not self._lost:
             self._lost = True
-            hub.log.event("store_lost", kind=self._kind, error=str(error))
-        if hub.own_rank() < store_watch.WATCHERS:
+            sharer.log.event("store_lost", kind=self._kind, error=str(error))
+        if sharer.own_rank() < store_watch.WATCHERS:
             longest_ms = BACKOFF_MAX_MS
         else:
-            nodes = hub.living_count()
+            nodes = sharer.living_count()
             longest_ms = max(BACKOFF_MAX_MS, BACKOFF_A_NODE_MS * nodes)
             self._backoff_ms = longest_ms
         wait_ms = self._backoff_ms * (0.5 + random.random())
         self._backoff_ms = min(longest_ms, 1.6 * self._backoff_ms)
-        self._next_try_ms = hub.now_ms() + wait_ms
+        self._next_try_ms = sharer.now_ms() + wait_ms
 
     async def _sleep(self, wait_ms: float) -> None:
-        await task.deferLater(self._hub.reactor, wait_ms / MS_PER_S)
+        await task.deferLater(self._sharer.reactor, wait_ms / MS_PER_S)
 
     # Peers --------------------------------------------------------------
 
@@ -191,7 +191,7 @@
         """Return how far the copy goes, and how old that is."""
         age_ms = 0.0
         if not self.sound:
-            age_ms = self._hub.now_ms() - self._covered_at_ms
+            age_ms = self._sharer.now_ms() - self._covered_at_ms
         covered = age_ms < store_watch.COVERED_MS
         return messages.KindRevision(
             self._kind, self.copy.revision, covered, round(age_ms, 1)
@@ -199,7 +199,7 @@
 
     def on_heard(self, inner: str, heard: messages.KindRevision) -> None:
         """Take a peer's word of how far its copy goes."""
-        now_ms = self._hub.now_ms()
+        now_ms = self._sharer.now_ms()
         reached_at_ms = now_ms - max(0.0, heard.age_ms)
         if heard.sound and reached_at_ms > self._covered_at_ms:
             self._covered_at_ms = reached_at_ms
@@ -207,25 +207,27 @@
             if heard.sound:
                 self._heard_at_ms = max(self._heard_at_ms, reached_at_ms)
                 self._behind_since_ms = None
-                self._hub.pass_on()
+                self._sharer.pass_on()
             return
         if self._behind_since_ms is None:
             self._behind_since_ms = now_ms
         if not self._fetching:
             self._fetching = True
-            defer.ensureDeferred(self._fetch(inner, heard.sound))
+            defer.ensureDeferred(self._fetch(inner, heard, reached_at_ms))
 
-    async def _fetch(self, inner: str, sound: bool) -> None:
+    async def _fetch(
+        self, inner: str, heard: messages.KindRevision, reached_at_ms: float
+    ) -> None:
         try:
-            delta = await self._hub.fetch(
+            delta = await self._sharer.fetch(
                 inner, self._kind, self.copy.revision
             )
             self._take(delta, from_store=False)
             self._behind_since_ms = None
-            if sound:
-                self._heard_at_ms = self._hub.now_ms()
+            if heard.sound:
+                self._heard_at_ms = max(self._heard_at_ms, reached_at_ms)
         except (errors.StoreError, errors.CodecError) as error:
-            self._hub.log.decision(
+            self._sharer.log.decision(
                 "fetch_failed", peer=inner, kind=self._kind, error=str(error)
             )
         finally:
--- a/packages/tier/src/godwitflow/tier/replication.py
+++ b/packages/tier/src/godwitflow/tier/replication.py
@@ -33,7 +33,7 @@
 STATE_PATH = b"/state/"
 
 
-class Mates(typing.Protocol):
+class Members(typing.Protocol):
     """What replication needs of the member table."""
 
     def living(self) -> list[messages.MemberUpdate]:
@@ -66,7 +66,7 @@
         store: objects.ObjectStore,
         kinds: typing.Sequence[str],
         me: ids.NodeId,
-        mates: Mates,
+        members: Members,
         taker: Taker,
         now_ms: typing.Callable[[], float],
         log: logs.Log,
@@ -75,7 +75,7 @@
         self.reactor = reactor
         self.store = store
         self.me = me
-        self.mates = mates
+        self.members = members
         self.now_ms = now_ms
         self.log = log
         self.stopped = False
@@ -103,7 +103,7 @@
         """Return this node's place among those that watch the store."""
         now_ms = self.now_ms()
         if now_ms >= self._rank_until_ms:
-            living = [row.node for row in self.mates.living()]
+            living = [row.node for row in self.members.living()]
             ranked = store_watch.ranking(self.me, living, "store")
             self._rank = ranked.index(self.me)
             self._ranked = ranked
@@ -112,7 +112,7 @@
 
     def living_count(self) -> int:
         """Return how many members are not known to be dead."""
-        return len(self.mates.living())
+        return len(self.members.living())
 
     # Telling ------------------------------------------------------------
 
@@ -136,7 +136,7 @@
         sound = any(follower.sound for follower in self.followers.values())
         told = store_watch.audience(rank, self._ranked, sound)
         if told:
-            self.mates.tell_nodes(told, self.revisions())
+            self.members.tell_nodes(told, self.revisions())
 
     def pass_on(self) -> None:
         """Pass on that the store was reached, soon after it was heard."""
