--- a/packages/soak/src/godwitflow/soak/callers.py
+++ b/packages/soak/src/godwitflow/soak/callers.py
@@ -61,7 +61,10 @@
 
     async def _ask(self) -> None:
         place, life = await self._choose()
-        kind = self._random.choice(list(Kind))
+        await self.ask(place, life, self._random.choice(list(Kind)))
+
+    async def ask(self, place: Place, life: str, kind: Kind) -> ledgers.Sent:
+        """Send one request to a node; return what became of it."""
         self._count += 1
         name = f"{self._name}x{self._count}"
         body = b""
@@ -82,6 +85,13 @@
         self._ledger.sent[name] = sent
         await self._exchange(place, sent)
         sent.ended_at_s = self._reactor.seconds()
+        return sent
+
+    async def named(self, place: Place) -> list[str]:
+        """Return the addresses that a node names to this caller now."""
+        self._named = []
+        await self._ask_addresses(place)
+        return self._named
 
     async def _choose(self) -> tuple[Place, str]:
         """Pick a node among those that the system names just now."""
--- a/packages/soak/src/godwitflow/soak/processes.py
+++ b/packages/soak/src/godwitflow/soak/processes.py
@@ -79,6 +79,7 @@
     def outReceived(self, data: bytes) -> None:  # noqa: N802
         """Keep the program's log."""
         self._log.write(data)
+        self._log.flush()
 
     def errReceived(self, data: bytes) -> None:  # noqa: N802
         """Keep what the program says besides."""
