--- a/packages/tier/src/godwitflow/tier/metrics.py
+++ b/packages/tier/src/godwitflow/tier/metrics.py
@@ -3,17 +3,47 @@
 import collections
 import typing
 
-from hdrh import histogram
-
 QUANTILES = (50.0, 90.0, 99.0, 99.9)
 LOWEST_US = 1
 HIGHEST_US = 600_000_000
 DIGITS = 2
+PENDING_VALUES = 512
 US_PER_MS = 1_000.0
 
 Labels = tuple[tuple[str, str], ...]
 
 
+class Latencies:
+    """The latencies of one kind, in microseconds.
+
+    Values wait in a list until they are many or are asked for: loading
+    the histogram's library would delay every start of a node.
+    """
+
+    def __init__(self) -> None:
+        self._pending: list[int] = []
+        self._histogram: typing.Any = None
+
+    def record(self, value_us: int) -> None:
+        """Add a value."""
+        self._pending.append(min(max(value_us, LOWEST_US), HIGHEST_US))
+        if len(self._pending) >= PENDING_VALUES:
+            self.histogram()
+
+    def histogram(self) -> typing.Any:
+        """Return the histogram of all values so far."""
+        if self._histogram is None:
+            from hdrh import histogram  # noqa: PLC0415
+
+            self._histogram = histogram.HdrHistogram(
+                LOWEST_US, HIGHEST_US, DIGITS
+            )
+        pending, self._pending = self._pending, []
+        for value_us in pending:
+            self._histogram.record_value(value_us)
+        return self._histogram
+
+
 class Metrics:
     """Everything that one process counts."""
 
@@ -21,7 +51,7 @@
         self._counters: dict[tuple[str, Labels], float] = (
             collections.defaultdict(float)
         )
-        self._latencies: dict[tuple[str, str, str], typing.Any] = {}
+        self._latencies: dict[tuple[str, str, str], Latencies] = {}
 
     def count(self, name: str, amount: float = 1, **labels: str) -> None:
         """Add to a counter."""
@@ -38,10 +68,9 @@
         key = (service, priority, hop)
         found = self._latencies.get(key)
         if found is None:
-            found = histogram.HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS)
+            found = Latencies()
             self._latencies[key] = found
-        value_us = int(elapsed_ms * US_PER_MS)
-        found.record_value(min(max(value_us, LOWEST_US), HIGHEST_US))
+        found.record(int(elapsed_ms * US_PER_MS))
 
     def lines(self) -> list[str]:
         """Return every figure in the text form that scrapers read."""
@@ -49,7 +78,7 @@
         for (name, labels), amount in sorted(self._counters.items()):
             rows.append(f"godwitflow_{name}_total{_text(labels)} {amount:g}")
         for key, found in sorted(self._latencies.items()):
-            rows += self._latency_lines(key, found)
+            rows += self._latency_lines(key, found.histogram())
         return rows
 
     def _latency_lines(
--- a/packages/tier/src/godwitflow/tier/node.py
+++ b/packages/tier/src/godwitflow/tier/node.py
@@ -87,7 +87,7 @@
         self._reactor = reactor
         self._now_ms = now_ms
         self._settings = settings
-        self._callers_directory = directory
+        self._directory_format = directory
         self._log = log
         self.metrics = metrics.Metrics()
         seed = random.getrandbits(32)
@@ -306,7 +306,7 @@
         )
 
     def _on_resolve(self, exchange: callers.Exchange) -> None:
-        near = self._callers_directory.near(exchange.request)
+        near = self._directory_format.near(exchange.request)
         chosen = addresses.subset(
             self.peers.ready(), near, exchange.caller_host
         )
@@ -317,7 +317,7 @@
             return
         most_s = self._settings.bounds.max_address_age_ms / MS_PER_S
         age_s = min(ADDRESS_AGE_S, most_s)
-        exchange.answer(self._callers_directory.answer(chosen, age_s))
+        exchange.answer(self._directory_format.answer(chosen, age_s))
 
     def _on_scrape(self, exchange: callers.Exchange) -> None:
         """Answer with every counter and latency as text."""
