--- a/packages/soak/src/godwitflow/soak/processes.py
+++ b/packages/soak/src/godwitflow/soak/processes.py
@@ -61,9 +61,16 @@
         self._path.write_bytes(self._settings(not self.lives))
 
     def send(self, number: signal.Signals) -> None:
-        """Send a signal, if the program runs."""
-        if self.running:
+        """Send a signal, if the program runs.
+
+        It may have ended a moment ago, with its output still unread.
+        """
+        if not self.running:
+            return
+        try:
             self._process.signalProcess(number)
+        except error.ProcessExitedAlready:
+            self.running = False
 
     def stop_for_good(self) -> None:
         """Ask the program to stop; it is not started again."""
