--- a/packages/daemon/src/godwitflow/daemon/callers.py
+++ b/packages/daemon/src/godwitflow/daemon/callers.py
@@ -51,9 +51,10 @@
             near = ids.FailureDomain(text)
         chosen = self.control.addresses(near)
         request.setHeader("Content-Type", JSON)
-        if not chosen.addresses:
+        if not chosen:
             request.setResponseCode(503)
-        reply = AddressReply(chosen.addresses, chosen.max_age_ms)
+        max_age_ms = self.control.address_settings.max_age_ms
+        reply = AddressReply(tuple(chosen), max_age_ms)
         return msgspec.json.encode(reply)
 
     @app.route("/v1/query", methods=["POST"])
--- a/packages/daemon/src/godwitflow/daemon/control.py
+++ b/packages/daemon/src/godwitflow/daemon/control.py
@@ -333,19 +333,22 @@
 
     # Addresses --------------------------------------------------------
 
-    def addresses(
-        self, near: ids.FailureDomain | None
-    ) -> addresses.AddressAnswer:
-        """Choose the addresses that a caller is told to use."""
+    @property
+    def address_settings(self) -> config.Addresses:
+        """How many addresses a caller is told, and for how long."""
         held = self.catalog.config
-        settings = held.addresses if held else config.Addresses()
+        return held.addresses if held else config.Addresses()
+
+    def addresses(self, near: ids.FailureDomain | None) -> list[str]:
+        """Choose the addresses that a caller is told to use."""
         domain = near or self.table.me.failure_domain
+        draw = f"{self.random.random()}"
         return addresses.choose(
             self.table.alive(),
             domain,
-            settings.count,
-            settings.max_age_ms,
-            self.random,
+            draw,
+            near_count=self.address_settings.count,
+            far_count=0,
         )
 
 
--- a/packages/daemon/src/godwitflow/daemon/node.py
+++ b/packages/daemon/src/godwitflow/daemon/node.py
@@ -388,9 +388,7 @@
 
     def _address_age_s(self) -> float:
         """Return how long a caller may still use this node's address."""
-        held = self.catalog.config
-        settings = held.addresses if held else config.Addresses()
-        return settings.max_age_ms / clock.MS_PER_S
+        return self.control.address_settings.max_age_ms / clock.MS_PER_S
 
     async def _finish_requests(self) -> None:
         waited_s = 0.0
--- a/packages/http1/src/godwitflow/http1/messages.py
+++ b/packages/http1/src/godwitflow/http1/messages.py
@@ -22,6 +22,8 @@
     )
 )
 
+MISDIRECTED = 421
+
 REASONS = {
     200: b"OK",
     400: b"Bad Request",
--- a/packages/http1/tests/test_upstreams.py
+++ b/packages/http1/tests/test_upstreams.py
@@ -170,6 +170,20 @@
         rig.connection.dataReceived(b"HTTP/1.1 100 Continue\r\n\r\n" + REPLY)
         self.assertEqual([b"hello"], rig.bodies())
 
+    def test_connection_of_a_long_request_carries_no_other(self):
+        """An upstream may answer before it has read all of the body."""
+        rig = Rig(connected=False)
+        body = b"x" * (upstreams.LARGE_REQUEST_BYTES + 1)
+        rig.connection.call = None
+        rig.connection.send(
+            upstreams.Call(body, b"1", False, rig.outcomes.append)
+        )
+        rig.connection.makeConnection(transports.Transport())
+        rig.connection.dataReceived(REPLY)
+        self.assertEqual([b"hello"], rig.bodies())
+        self.assertEqual([], rig.owner.idle)
+        self.assertEqual([rig.connection], rig.owner.closed)
+
     def test_stated_keep_alive_bounds_reuse(self):
         rig = Rig()
         rig.connection.dataReceived(
--- a/packages/policy/src/godwitflow/policy/copies.py
+++ b/packages/policy/src/godwitflow/policy/copies.py
@@ -40,7 +40,7 @@
         self._log_after = 0
 
     def take(self, delta: Delta) -> list[objects.Change]:
-        """Take a delta; return the changes that were news.
+        """Take a delta; return the changes that are new.
 
         A delta that starts after what is held leaves a gap and is not
         taken; the caller then asks for one that starts earlier.
@@ -51,15 +51,15 @@
             return self._replace(delta)
         if delta.after > self.revision:
             return []
-        news = [
+        fresh = [
             change
             for change in delta.changes
             if change.object.revision > self.revision
         ]
-        for change in news:
+        for change in fresh:
             self._apply(change)
         self.revision = delta.revision
-        return news
+        return fresh
 
     def _apply(self, change: objects.Change) -> None:
         if change.removed:
@@ -73,7 +73,7 @@
     def _replace(self, delta: Delta) -> list[objects.Change]:
         """Take a whole list; what it lacks is gone as of its revision."""
         present = {change.object.name for change in delta.changes}
-        news = [
+        fresh = [
             objects.Change(
                 dataclasses.replace(known, revision=delta.revision), True
             )
@@ -83,14 +83,14 @@
         for change in delta.changes:
             known = self.objects.get(change.object.name)
             if known is None or known.revision < change.object.revision:
-                news.append(change)
+                fresh.append(change)
         self.objects = {
             change.object.name: change.object for change in delta.changes
         }
         self._log.clear()
         self._log_after = delta.revision
         self.revision = delta.revision
-        return news
+        return fresh
 
     def since(self, after: int) -> Delta:
         """Return what a peer that holds ``after`` lacks.
--- a/packages/policy/src/godwitflow/policy/observations.py
+++ b/packages/policy/src/godwitflow/policy/observations.py
@@ -3,7 +3,7 @@
 Answers slow and failing upstreams in a large fleet: each node makes few
 calls to any one upstream, so each would have to meet the same trouble
 several times before it avoids it. A node tells a few peers what it saw
-itself, never what it heard, so that no word goes round in circles.
+itself, never what it heard, so that no report comes back as new.
 """
 
 import dataclasses
@@ -63,15 +63,15 @@
         self._tallies.setdefault(upstream, _Tally()).failures += 1
 
     def take(
-        self, doubted: typing.Callable[[ids.UpstreamId], bool]
+        self, suspected: typing.Callable[[ids.UpstreamId], bool]
     ) -> list[Observation]:
         """End the round; return what peers should know, worst first.
 
-        Good news counts only of upstreams that are ``doubted``.
+        Upstreams that did well are reported only while ``suspected``.
         """
         tallies, self._tallies = self._tallies, {}
         found = [_observation(name, row) for name, row in tallies.items()]
-        told = [one for one in found if one.notable or doubted(one.upstream)]
+        told = [one for one in found if one.notable or suspected(one.upstream)]
         told.sort(key=lambda one: -one.severity)
         return told[:REPORTS_A_ROUND]
 
--- a/packages/policy/src/godwitflow/policy/registrations.py
+++ b/packages/policy/src/godwitflow/policy/registrations.py
@@ -1,7 +1,7 @@
 """Upstreams as they register themselves in the store.
 
-An upstream's own words are ordered by its start and its sequence, so
-late words of an earlier life never replace later ones.
+An upstream's entries are ordered by its start and its sequence, so that
+a late one of an earlier life never replaces a later one.
 """
 
 import dataclasses
--- a/packages/policy/src/godwitflow/policy/replica_choice.py
+++ b/packages/policy/src/godwitflow/policy/replica_choice.py
@@ -20,8 +20,8 @@
 FAILURE_GAIN = 0.2
 FAILURE_MAX = 0.95
 FAILURE_HALF_LIFE_MS = 4_000.0
-DARK_AFTER_MS = 300.0  # longer than the pauses of a sound upstream
-DARK_AFTER_USUAL = 5.0
+SILENT_AFTER_MS = 300.0  # longer than the pauses of a sound upstream
+SILENT_AFTER_USUAL = 5.0
 COLD_FACTOR = 1.6
 FAR_FACTOR = 1.8
 REPORT_GAIN = 0.3
@@ -85,8 +85,8 @@
     def on_report(self, now_ms: float, seen: observations.Observation) -> None:
         """Learn from what a peer saw; only the choice is led by it.
 
-        Whether the upstream is dark is for this node's own calls to say,
-        as a fault may lie between the peer and the upstream.
+        Whether the upstream is unavailable is for this node's own calls to
+        say, as a fault may lie between the peer and the upstream.
         """
         self._age(now_ms)
         kept = (1.0 - REPORT_GAIN) ** min(seen.replies, REPORT_CALLS_MAX)
@@ -140,7 +140,7 @@
         return True
 
     def _patience_ms(self) -> float:
-        return max(DARK_AFTER_MS, DARK_AFTER_USUAL * self.usual_ms)
+        return max(SILENT_AFTER_MS, SILENT_AFTER_USUAL * self.usual_ms)
 
     def _count_failure(self, now_ms: float) -> None:
         self._age(now_ms)
@@ -162,12 +162,12 @@
 
     def doubtful(self, now_ms: float) -> bool:
         """Tell whether the upstream must prove first that it is back."""
-        return self.silent or self.dark(now_ms)
+        return self.silent or self.unavailable(now_ms)
 
-    def dark(self, now_ms: float) -> bool:
+    def unavailable(self, now_ms: float) -> bool:
         """Tell whether a call has no prospect of an answer.
 
-        An upstream that went silent or keeps failing is dark while a
+        An upstream that went silent or keeps failing is unavailable while a
         trial is under way and for a short while after; then the next
         call is the trial.
         """
@@ -198,11 +198,11 @@
     usual_ms: float,
     source: random.Random,
 ) -> Candidate | None:
-    """Draw a candidate; dark ones only where no other is left."""
+    """Draw a candidate; unavailable ones only where no other is left."""
     sound = [
         candidate
         for candidate in candidates
-        if not candidate.health.dark(now_ms)
+        if not candidate.health.unavailable(now_ms)
     ]
     pool = sound or candidates
     if len(pool) <= 1:
--- a/packages/policy/src/godwitflow/policy/retry_budget.py
+++ b/packages/policy/src/godwitflow/policy/retry_budget.py
@@ -3,8 +3,8 @@
 Answers the load that retries and hedges add when a service is slow or
 failing. The whole fleet may add ``ratio`` of the requests of a window
 and ``slack`` calls. Each node takes the ratio of its own requests and an
-even share of the slack, so the sum keeps the bound with no word between
-nodes.
+even share of the slack, so the sum keeps the bound without messages
+between nodes.
 """
 
 import collections
--- a/packages/policy/src/godwitflow/policy/routing.py
+++ b/packages/policy/src/godwitflow/policy/routing.py
@@ -46,6 +46,15 @@
     top_count: int
     least_share: float
 
+    def suffices(self, count: int) -> bool:
+        """Tell whether so many shards make an answer; at least one does.
+
+        >>> Gather(("a", "b", "c", "d"), 5, 0.75).suffices(3)
+        True
+        """
+        share = count / len(self.shards) if self.shards else 0.0
+        return count > 0 and share >= self.least_share
+
 
 Target = Single | Split | Gather
 
--- a/packages/policy/src/godwitflow/policy/gather_times.py
+++ b/packages/policy/src/godwitflow/policy/run_times.py
@@ -1,6 +1,6 @@
-"""When a query over many shards hedges, answers in part and gives up.
+"""When a request is hedged, answered in part and given up.
 
-Answers stragglers: shards whose replica is paused, slow or silent. A
+Answers stragglers: upstreams that are paused, slow or silent. A
 second call is worth most early, but the budget for second calls is
 bounded; where it runs low, calls are hedged only at the last moment at
 which the second call can still be in time, so that the budget goes to
@@ -14,6 +14,7 @@
 LAST_HEDGE_LATES = 1.6
 NEW_CALLER_LEG_MS = 28.0  # address answer, handshake and both ways
 KNOWN_CALLER_LEG_MS = 25.0  # the same, on a connection that was open
+SINGLE_LATE_MAX_SHARE = 0.6
 FINAL_MARGIN_MS = 15.0
 
 
@@ -33,27 +34,27 @@
     final_at_ms: float
 
 
-def plan(
+def plan_gather(
     received_at_ms: float,
     deadline_at_ms: float,
     target_ms: float,
     late_ms: float,
     new_caller: bool,
 ) -> GatherTimes:
-    """Return the times of a query.
+    """Return the times of a query over many shards.
 
     ``late_ms`` is how long all but a few calls of the route take.
     ``new_caller`` says that the caller has set up its connection for
     this query: its clock has run since before that.
 
-    >>> plan(0.0, 1_500.0, 100.0, 20.0, False)
+    >>> plan_gather(0.0, 1_500.0, 100.0, 20.0, False)
     ... # doctest: +NORMALIZE_WHITESPACE
     GatherTimes(first_hedge_at_ms=20.0, last_hedge_at_ms=43.0,
                 cutoff_at_ms=75.0, final_at_ms=1485.0)
     """
-    final_at_ms = deadline_at_ms - FINAL_MARGIN_MS
+    final_ms = final_at_ms(deadline_at_ms)
     leg_ms = NEW_CALLER_LEG_MS if new_caller else KNOWN_CALLER_LEG_MS
-    cutoff_at_ms = min(received_at_ms + target_ms - leg_ms, final_at_ms)
+    cutoff_at_ms = min(received_at_ms + target_ms - leg_ms, final_ms)
     late_ms = max(late_ms, LATE_MIN_SHARE * target_ms)
     late_ms = min(late_ms, LATE_MAX_SHARE * target_ms)
     first_at_ms = received_at_ms + late_ms
@@ -62,5 +63,18 @@
         first_at_ms,
         max(first_at_ms, last_at_ms),
         cutoff_at_ms,
-        final_at_ms,
+        final_ms,
     )
+
+
+def single_hedge_at_ms(
+    now_ms: float, deadline_at_ms: float, target_ms: float, late_ms: float
+) -> float:
+    """Return when a request to one service gets a second call."""
+    late_ms = min(late_ms, SINGLE_LATE_MAX_SHARE * target_ms)
+    return min(now_ms + late_ms, final_at_ms(deadline_at_ms))
+
+
+def final_at_ms(deadline_at_ms: float) -> float:
+    """Return when to give up, so that the caller still hears of it."""
+    return deadline_at_ms - FINAL_MARGIN_MS
--- a/packages/policy/src/godwitflow/policy/store_watch.py
+++ b/packages/policy/src/godwitflow/policy/store_watch.py
@@ -5,8 +5,8 @@
 the fleet. A node that hears from no watcher for a while follows the
 store itself; the others do so one after another, as one is enough.
 
-Word goes down a tree over the same ranking, so that no node tells more
-than a few others however large the fleet is; each node has two parents.
+Announcements go down a tree over the same ranking, so that no node tells
+more than a few others however large the fleet is; each has two parents.
 """
 
 import functools
--- a/packages/policy/tests/test_catalog.py
+++ b/packages/policy/tests/test_catalog.py
@@ -1,6 +1,5 @@
 """Tests of what a node holds of the store, and of small parts."""
 
-import random
 import unittest
 
 from godwitflow.model import index
@@ -117,8 +116,8 @@
             self.row(3, state=messages.MemberState.LEAVING),
             self.row(4, load=0.9),
         ]
-        found = addresses.choose(rows, "d0", 3, 5.0, random.Random(1))
-        self.assertEqual(("http://1", "http://4"), found.addresses)
+        found = addresses.choose(rows, "d0", "x", 3, 0)
+        self.assertEqual(["http://1", "http://4"], found)
 
 
 class AdmissionTest(unittest.TestCase):
--- a/packages/policy/tests/test_observations.py
+++ b/packages/policy/tests/test_observations.py
@@ -64,12 +64,12 @@
         ]
         self.assertLess(chosen.count("a"), 75)
 
-    def test_reports_alone_never_make_an_upstream_dark(self):
+    def test_reports_alone_never_make_an_upstream_unavailable(self):
         health = replica_choice.ReplicaHealth()
         seen = observations.Observation(ids.UpstreamId("a"), 0, 1.0, 40)
         for _ in range(100):
             health.on_report(0.0, seen)
-        self.assertFalse(health.dark(0.0))
+        self.assertFalse(health.unavailable(0.0))
         self.assertFalse(health.doubtful(0.0))
 
     def test_own_good_replies_outweigh_reports(self):
--- a/packages/policy/tests/test_replica_choice.py
+++ b/packages/policy/tests/test_replica_choice.py
@@ -64,35 +64,35 @@
         for _ in range(3):
             healths["a"].on_failure(0.0)
         self.assertEqual(0.0, share_of(healths, "a", 100.0))
-        self.assertFalse(healths["a"].dark(600.0))
+        self.assertFalse(healths["a"].unavailable(600.0))
 
-    def test_silent_replica_is_dark_until_its_next_trial(self):
+    def test_silent_replica_is_unavailable_until_its_next_trial(self):
         health = replica_choice.ReplicaHealth()
         health.tried_at_ms = 0.0
         health.oldest_started_at_ms = 0.0
         health.replied_at_ms = -1.0
-        self.assertFalse(health.dark(250.0))
-        self.assertTrue(health.dark(301.0))
+        self.assertFalse(health.unavailable(250.0))
+        self.assertTrue(health.unavailable(301.0))
         health.on_given_up(600.0, 0.0)
         health.oldest_started_at_ms = None
         health.tried_at_ms = 590.0
-        self.assertTrue(health.dark(700.0))
-        self.assertFalse(health.dark(850.0))
+        self.assertTrue(health.unavailable(700.0))
+        self.assertFalse(health.unavailable(850.0))
         health.tried_at_ms = 850.0
         health.oldest_started_at_ms = 850.0
-        self.assertTrue(health.dark(851.0))
+        self.assertTrue(health.unavailable(851.0))
         health.on_reply(860.0, 10.0, 10.0)
-        self.assertFalse(health.dark(900.0))
+        self.assertFalse(health.unavailable(900.0))
 
     def test_long_calls_of_a_sound_upstream_are_no_silence(self):
         health = replica_choice.ReplicaHealth()
         health.on_reply(0.0, 150.0, 150.0)
         health.oldest_started_at_ms = 1.0
-        self.assertFalse(health.dark(700.0))
+        self.assertFalse(health.unavailable(700.0))
         health.on_given_up(700.0, 1.0)
         self.assertFalse(health.silent)
-        self.assertTrue(health.dark(752.0))
+        self.assertTrue(health.unavailable(752.0))
 
-    def test_dark_replica_is_used_where_no_other_is_left(self):
+    def test_unavailable_replica_is_used_where_no_other_is_left(self):
         health = replica_choice.ReplicaHealth(ejected_until_ms=500.0)
         self.assertEqual(1.0, share_of({"a": health}, "a", 100.0))
--- a/packages/policy/tests/test_gather_times.py
+++ b/packages/policy/tests/test_run_times.py
@@ -3,14 +3,14 @@
 import doctest
 import unittest
 
-from godwitflow.policy import gather_times
+from godwitflow.policy import run_times
 
 
 def plan(late_ms=20.0, target_ms=100.0, deadline_ms=1_500.0, new=False):
-    return gather_times.plan(0.0, deadline_ms, target_ms, late_ms, new)
+    return run_times.plan_gather(0.0, deadline_ms, target_ms, late_ms, new)
 
 
-class GatherTimesTest(unittest.TestCase):
+class RunTimesTest(unittest.TestCase):
     def test_moments_follow_each_other(self):
         for late_ms in (0.1, 5.0, 20.0, 44.0, 300.0):
             for target_ms in (50.0, 118.0, 1_500.0):
@@ -40,5 +40,5 @@
 
 def load_tests(loader, tests, pattern):
     """Add the examples of the module."""
-    tests.addTests(doctest.DocTestSuite(gather_times))
+    tests.addTests(doctest.DocTestSuite(run_times))
     return tests
--- a/packages/soak/src/godwitflow/soak/ledger.py
+++ b/packages/soak/src/godwitflow/soak/ledger.py
@@ -79,7 +79,7 @@
         found = []
         if sent.kind is Kind.ONCE and len(runs) > 1:
             found.append(f"twice: {sent.request} ran {len(runs)} times")
-        if sent.status in NOT_RUN and runs and sent.kind is Kind.ONCE:
+        if sent.status in NOT_RUN and runs:
             found.append(f"refused: {sent.request} ran, got {sent.status}")
         if sent.status == 404:
             found.append(f"denied: {sent.request} to {sent.target}")
--- a/packages/soak/tests/test_ledger.py
+++ b/packages/soak/tests/test_ledger.py
@@ -93,9 +93,11 @@
         self.assertEqual([], self.check([row], rejected))
 
     def test_refusal_of_a_request_that_ran_is_found(self):
-        for status in ledgers.NOT_RUN:
-            row = sent(Kind.ONCE, status=status)
-            self.assertEqual(["refused"], self.check([row], [arrival(row)]))
+        for kind in Kind:
+            for status in ledgers.NOT_RUN:
+                row = sent(kind, status=status)
+                found = self.check([row], [arrival(row)])
+                self.assertEqual(["refused"], found)
 
     def test_answers_of_other_requests_are_found(self):
         for row in (
--- a/packages/tier/src/godwitflow/tier/dispatcher.py
+++ b/packages/tier/src/godwitflow/tier/dispatcher.py
@@ -10,6 +10,7 @@
 import random
 import typing
 
+from godwitflow.http1 import messages
 from godwitflow.http1 import upstreams
 from godwitflow.model import ids
 from godwitflow.policy import observations
@@ -28,7 +29,7 @@
 INITIAL_USUAL_SHARE = 0.15
 INITIAL_LATE_SHARE = 0.35
 LATE_QUANTILE = 0.88
-MISDIRECTED = 421
+USUAL_MIN_MS = 0.1
 
 if typing.TYPE_CHECKING:
     from godwitflow.tier import piece as pieces
@@ -72,14 +73,13 @@
         self.on_strike: typing.Callable[[ids.Fingerprint, int], None] = (
             _ignore_strike
         )
-        self.on_call: typing.Callable[[], None] = _count_nothing
+        self.calls = 0
         self.random = random.Random(seed)
         self._failure_domain = failure_domain
         self._limits = limits
         self._services: dict[ids.ServiceName, services.Service] = {}
         self._upstreams: dict[ids.UpstreamId, services.Upstream] = {}
         self._paces: dict[str, Pace] = {}
-        self._keys = itertools.count()
         self._order = itertools.count()
 
     # What is known ------------------------------------------------------
@@ -198,8 +198,7 @@
         return [
             upstream
             for upstream in service.upstreams
-            if not upstream.misdirected
-            and upstream.registration.upstream not in used
+            if not upstream.misdirected and upstream.name not in used
         ]
 
     def choose(
@@ -210,7 +209,7 @@
         by_id = {}
         for upstream in usable:
             if upstream.pool.has_room:
-                name = upstream.registration.upstream
+                name = upstream.name
                 by_id[name] = upstream
                 candidates.append(
                     replica_choice.Candidate(
@@ -233,9 +232,9 @@
         heapq.heappush(service.waiting, entry)
 
     def new_key(self) -> int:
-        """Return a key for a call that starts."""
-        self.on_call()
-        return next(self._keys)
+        """Count a call that starts, and return a key for it."""
+        self.calls += 1
+        return self.calls
 
     def note_strike(
         self, work: "pieces.Work", mark: ids.Fingerprint, crashes: int
@@ -278,49 +277,55 @@
         """Learn from the outcome of a call."""
         now_ms = self.now_ms()
         doubted = upstream.health.doubtful(now_ms)
-        self._learn(upstream, pace, elapsed_ms, outcome, rejected)
+        match outcome:
+            case upstreams.Replied(response) if rejected:
+                self._learn_rejection(upstream, response, now_ms)
+            case upstreams.Replied(response) if response.status < 500:
+                self._learn_reply(upstream, pace, elapsed_ms, now_ms)
+            case upstreams.Broken(upstreams.Fault.CANCELLED):
+                self._learn_given_up(upstream, elapsed_ms, now_ms)
+            case _:
+                upstream.health.on_failure(now_ms)
+                self._observations.note_failure(upstream.name)
         if upstream.health.doubtful(now_ms) is not doubted:
             self.log.decision(
                 "upstream_back" if doubted else "upstream_doubted",
-                upstream=upstream.registration.upstream,
+                upstream=upstream.name,
                 service=upstream.registration.service,
                 failure_share=round(upstream.health.failure_share, 2),
                 elapsed_ms=round(elapsed_ms, 1),
             )
 
-    def _learn(
+    def _learn_rejection(
+        self,
+        upstream: services.Upstream,
+        response: messages.Response,
+        now_ms: float,
+    ) -> None:
+        upstream.health.on_rejection(now_ms)
+        self._observations.note_failure(upstream.name)
+        if response.status == messages.MISDIRECTED:
+            upstream.misdirected = True
+            upstream.pool.close_idle()
+
+    def _learn_reply(
         self,
         upstream: services.Upstream,
         pace: Pace,
         elapsed_ms: float,
-        outcome: upstreams.Outcome,
-        rejected: bool,
+        now_ms: float,
     ) -> None:
-        now_ms = self.now_ms()
-        seen = self._observations
-        name = upstream.registration.upstream
-        match outcome:
-            case upstreams.Replied(response) if rejected:
-                upstream.health.on_rejection(now_ms)
-                seen.note_failure(name)
-                if response.status == MISDIRECTED:
-                    upstream.misdirected = True
-                    upstream.pool.close_idle()
-            case upstreams.Replied(response) if response.status >= 500:
-                upstream.health.on_failure(now_ms)
-                seen.note_failure(name)
-            case upstreams.Replied():
-                usual_ms = max(0.1, pace.usual.value)
-                upstream.health.on_reply(now_ms, elapsed_ms, usual_ms)
-                seen.note_reply(name, elapsed_ms / usual_ms)
-                pace.usual.record(elapsed_ms)
-                pace.late.record(elapsed_ms)
-            case upstreams.Broken(upstreams.Fault.CANCELLED):
-                if upstream.health.on_given_up(now_ms, now_ms - elapsed_ms):
-                    seen.note_failure(name)
-            case upstreams.Broken():
-                upstream.health.on_failure(now_ms)
-                seen.note_failure(name)
+        usual_ms = max(USUAL_MIN_MS, pace.usual.value)
+        upstream.health.on_reply(now_ms, elapsed_ms, usual_ms)
+        self._observations.note_reply(upstream.name, elapsed_ms / usual_ms)
+        pace.usual.record(elapsed_ms)
+        pace.late.record(elapsed_ms)
+
+    def _learn_given_up(
+        self, upstream: services.Upstream, elapsed_ms: float, now_ms: float
+    ) -> None:
+        if upstream.health.on_given_up(now_ms, now_ms - elapsed_ms):
+            self._observations.note_failure(upstream.name)
 
     # Peers --------------------------------------------------------------
 
@@ -339,10 +344,6 @@
             upstream.health.on_report(self.now_ms(), seen)
 
 
-def _count_nothing() -> None:
-    """Count no call; a node puts its load in place of this."""
-
-
 def _ignore_strike(mark: ids.Fingerprint, crashes: int) -> None:
     """Tell nobody; a node puts its peers in place of this."""
 
--- a/packages/tier/src/godwitflow/tier/follower.py
+++ b/packages/tier/src/godwitflow/tier/follower.py
@@ -50,9 +50,9 @@
         ...
 
     def took(
-        self, kind: str, news: list[objects.Change], lapsed: bool
+        self, kind: str, changes: list[objects.Change], lapsed: bool
     ) -> None:
-        """Hand on news."""
+        """Hand on changes."""
         ...
 
     def pass_on(self) -> None:
@@ -151,11 +151,11 @@
         if from_store and not lapsed:
             lapsed = self._lost
         first = self.copy.revision == 0
-        news = self.copy.take(delta)
+        changes = self.copy.take(delta)
         if from_store:
             self.sound = True
-        if news or first:
-            self._sharer.took(self._kind, news, lapsed)
+        if changes or first:
+            self._sharer.took(self._kind, changes, lapsed)
 
     def _note_heard(self) -> None:
         self.sound = True
@@ -192,13 +192,13 @@
         age_ms = 0.0
         if not self.sound:
             age_ms = self._sharer.now_ms() - self._covered_at_ms
-        covered = age_ms < store_watch.COVERED_MS
+        covered = self.copy.revision > 0 and age_ms < store_watch.COVERED_MS
         return messages.KindRevision(
             self._kind, self.copy.revision, covered, round(age_ms, 1)
         )
 
     def on_heard(self, inner: str, heard: messages.KindRevision) -> None:
-        """Take a peer's word of how far its copy goes."""
+        """Take how far a peer's copy goes."""
         now_ms = self._sharer.now_ms()
         reached_at_ms = now_ms - max(0.0, heard.age_ms)
         if heard.sound and reached_at_ms > self._covered_at_ms:
--- a/packages/tier/src/godwitflow/tier/gather_run.py
+++ b/packages/tier/src/godwitflow/tier/gather_run.py
@@ -9,13 +9,13 @@
 
 from godwitflow.http1 import messages
 from godwitflow.model import ids
-from godwitflow.policy import gather_times
 from godwitflow.policy import routing
+from godwitflow.policy import run_times
 from godwitflow.tier import piece as pieces
 from godwitflow.tier import run
 
 RECORD_BYTES = 16
-DARK_RETRY_AFTER_S = 0.4
+UNAVAILABLE_RETRY_AFTER_S = 0.4
 
 
 class GatherRun(run.Run):
@@ -28,7 +28,7 @@
         self._failed = 0
         self._past_cutoff = False
         self._pieces: list[pieces.Piece] = []
-        if self._refuse_dark():
+        if self._refuse_unavailable():
             return
         for shard in gather.shards:
             piece = pieces.Piece(
@@ -37,7 +37,7 @@
                 shard,
                 self._good_part,
                 self._on_result,
-                skip_dark=True,
+                skip_unavailable=True,
             )
             self._pieces.append(piece)
         for piece in self._pieces:
@@ -46,26 +46,25 @@
         if not self.done:
             self._plan()
 
-    def _refuse_dark(self) -> bool:
-        """Refuse at once where too many shards are known to be dark."""
+    def _refuse_unavailable(self) -> bool:
+        """Refuse at once where too many shards are known to be unavailable."""
         now_ms = self.dispatcher.now_ms()
         shards = self._gather.shards
-        dark = [
+        unavailable = [
             shard
             for shard in shards
-            if self.dispatcher.service(shard).dark(now_ms)
+            if self.dispatcher.service(shard).unavailable(now_ms)
         ]
-        self._dark = len(dark)
-        lit = len(shards) - len(dark)
-        if lit > 0 and lit >= self._gather.least_share * len(shards):
+        self._unavailable = len(unavailable)
+        if self._gather.suffices(len(shards) - len(unavailable)):
             return False
-        text = f"{len(dark)} of {len(shards)} shards are down"
-        self._refuse(503, text, DARK_RETRY_AFTER_S)
+        text = f"{len(unavailable)} of {len(shards)} shards are down"
+        self._refuse(503, text, UNAVAILABLE_RETRY_AFTER_S)
         return True
 
     def _plan(self) -> None:
         work = self.work
-        self._times = gather_times.plan(
+        self._times = run_times.plan_gather(
             work.received_at_ms,
             work.deadline_at_ms,
             work.route.target_ms,
@@ -102,7 +101,7 @@
 
     def _hedge(self, sparing: bool) -> None:
         for piece in self._pieces:
-            if piece.result is None and not piece.dark:
+            if piece.result is None and not piece.unavailable:
                 piece.hedge(sparing)
 
     def _on_cutoff(self) -> None:
@@ -133,14 +132,12 @@
         """Answer or refuse as soon as that is settled."""
         if self.done:
             return
-        total = len(self._gather.shards)
-        enough = len(self._parts) >= self._gather.least_share * total
-        enough = enough and len(self._parts) > 0
-        settled = len(self._parts) + self._failed == total
-        ripe = settled or self._past_cutoff or self._rest_is_dark()
-        if enough and ripe:
+        done = len(self._parts) + self._failed
+        settled = done == len(self._gather.shards)
+        ripe = settled or self._past_cutoff or self._rest_is_unavailable()
+        if ripe and self._gather.suffices(len(self._parts)):
             self._answer_parts()
-        elif self._hopeful() < self._gather.least_share * total:
+        elif not self._gather.suffices(self._hopeful()):
             self._give_up()
 
     def _hopeful(self) -> int:
@@ -158,12 +155,14 @@
             for piece in self._pieces
         )
 
-    def _rest_is_dark(self) -> bool:
-        """Tell whether only dark shards are still out."""
+    def _rest_is_unavailable(self) -> bool:
+        """Tell whether only unavailable shards are still out."""
         out = len(self._gather.shards) - len(self._parts) - self._failed
-        if out > self._dark:
+        if out > self._unavailable:
             return False
-        return all(piece.dark for piece in self._pieces if not piece.result)
+        return all(
+            piece.unavailable for piece in self._pieces if not piece.result
+        )
 
     def _give_up(self) -> None:
         total = len(self._gather.shards)
@@ -207,13 +206,12 @@
             for piece in self._pieces
             if not isinstance(piece.result, pieces.Got)
         ]
-        elapsed_ms = self.dispatcher.now_ms() - self.work.received_at_ms
         self.log.decision(
             "partial_answer",
             request=self.work.request_text,
             route=self.work.route.name,
             missing=missing,
-            elapsed_ms=round(elapsed_ms, 1),
+            elapsed_ms=round(self._elapsed_ms(), 1),
             version=self.work.version,
         )
 
@@ -223,14 +221,13 @@
         calls = next(
             piece.sends for piece in self._pieces if piece.service.name == last
         )
-        elapsed_ms = self.dispatcher.now_ms() - self.work.received_at_ms
         self.log.decision(
             "late_answer",
             request=self.work.request_text,
             route=self.work.route.name,
             last=last,
             calls=calls,
-            elapsed_ms=round(elapsed_ms, 1),
+            elapsed_ms=round(self._elapsed_ms(), 1),
             version=self.work.version,
         )
 
--- a/packages/tier/src/godwitflow/tier/health_exchange.py
+++ b/packages/tier/src/godwitflow/tier/health_exchange.py
@@ -14,17 +14,17 @@
 ROUND_MS = 400.0
 PEERS_A_ROUND = 4
 
-Tell = typing.Callable[[messages.Message, int], None]
+Send = typing.Callable[[messages.Message, int], None]
 
 
 class HealthExchange:
     """Sends this node's observations, and applies those of peers."""
 
     def __init__(
-        self, dispatcher: dispatching.Dispatcher, tell_some: Tell
+        self, dispatcher: dispatching.Dispatcher, send_to_some: Send
     ) -> None:
         self._dispatcher = dispatcher
-        self._tell_some = tell_some
+        self._send_to_some = send_to_some
         self._round_at_ms = 0.0
 
     def tick(self) -> None:
@@ -37,7 +37,7 @@
         if seen:
             reports = tuple(_to_wire(one) for one in seen)
             message = messages.UpstreamReports(reports)
-            self._tell_some(message, PEERS_A_ROUND)
+            self._send_to_some(message, PEERS_A_ROUND)
 
     def on_reports(self, message: messages.UpstreamReports) -> None:
         """Learn from what a peer saw."""
--- a/packages/tier/src/godwitflow/tier/enlistment.py
+++ b/packages/tier/src/godwitflow/tier/join.py
@@ -1,4 +1,4 @@
-"""Leaves a node's address in the store, for those that start later."""
+"""Registers a node's address in the store, for those that start later."""
 
 import typing
 
@@ -13,11 +13,11 @@
 MEMBER_KIND = "members"
 MEMBER_RETRY_S = 2.0
 LONELY_AFTER_S = 0.4
-ENLIST_AFTER_S = 10.0
+JOIN_AFTER_S = 10.0
 
 
-class Enlistment:
-    """One node's entry among the members that the store lists."""
+class Join:
+    """Registers one node among the members that the store lists."""
 
     def __init__(
         self,
@@ -36,7 +36,7 @@
         self._stopping = stopping
 
     async def run(self) -> None:
-        """Leave this node's address in the store for later starts.
+        """Register this node's address in the store for later starts.
 
         At the first start of all there is nothing to read. Otherwise the
         list, which may be stale, is read only once the seeds had time to
@@ -46,10 +46,10 @@
         if not first:
             await task.deferLater(self._reactor, LONELY_AFTER_S)
             if len(self._peers.living()) > 1:
-                await task.deferLater(self._reactor, ENLIST_AFTER_S)
+                await task.deferLater(self._reactor, JOIN_AFTER_S)
         while not self._stopping():
             try:
-                await self._enlist(known_absent=first)
+                await self._register(known_absent=first)
                 return
             except errors.StoreConflictError:
                 return
@@ -57,7 +57,7 @@
                 self._log.event("join_delayed", error=str(error))
                 await task.deferLater(self._reactor, MEMBER_RETRY_S)
 
-    async def _enlist(self, known_absent: bool) -> None:
+    async def _register(self, known_absent: bool) -> None:
         settings = self._settings
         spec = {
             "inner": settings.inner,
--- a/packages/tier/src/godwitflow/tier/log.py
+++ b/packages/tier/src/godwitflow/tier/log.py
@@ -53,6 +53,16 @@
         self._tokens -= 1.0
         self._write(event, fields)
 
+    def failure(self, entry: dict[str, typing.Any]) -> None:
+        """Log an error that nobody took, as an observer of Twisted's log.
+
+        Such errors end a task or a connection where nothing else says so.
+        """
+        found = entry.get("log_failure")
+        if found is not None:
+            text = str(entry.get("log_format") or "")
+            self.decision("error", where=text, error=found.getTraceback())
+
     def _write(self, event: str, fields: dict[str, typing.Any]) -> None:
         row = {
             "time": round(time.time(), 3),
--- a/packages/tier/src/godwitflow/tier/mirror.py
+++ b/packages/tier/src/godwitflow/tier/mirror.py
@@ -65,15 +65,15 @@
         return formats.configuration_kind, formats.registration_kind
 
     def take(
-        self, kind: str, news: list[objects.Change], lapsed: bool
+        self, kind: str, changes: list[objects.Change], lapsed: bool
     ) -> None:
-        """Take news of a kind."""
+        """Take changes of a kind."""
         if kind == self._formats.configuration_kind:
-            for change in news:
+            for change in changes:
                 if not change.removed:
                     self._take_configuration(change.object)
         else:
-            self._take_registrations(news, lapsed)
+            self._take_registrations(changes, lapsed)
 
     def _take_configuration(self, found: objects.Object) -> None:
         """Put a configuration in force if it is newer than the present."""
@@ -101,10 +101,10 @@
         self._on_configuration(configuration)
 
     def _take_registrations(
-        self, news: list[objects.Change], lapsed: bool
+        self, changes: list[objects.Change], lapsed: bool
     ) -> None:
         now_ms = self._now_ms()
-        for change in news:
+        for change in changes:
             name = ids.UpstreamId(change.object.name)
             if not change.removed:
                 self.registry.put(self._entry(change.object))
--- a/packages/tier/src/godwitflow/tier/node.py
+++ b/packages/tier/src/godwitflow/tier/node.py
@@ -14,16 +14,16 @@
 from godwitflow.http1 import callers
 from godwitflow.http1 import messages as http_messages
 from godwitflow.model import ids
-from godwitflow.policy import addresses
 from godwitflow.policy import node_load
 from godwitflow.policy import registrations
 from godwitflow.policy import routing
 from godwitflow.store import objects
+from godwitflow.tier import directory as directories
 from godwitflow.tier import dispatcher as dispatching
-from godwitflow.tier import enlistment
 from godwitflow.tier import front as fronts
 from godwitflow.tier import headers
 from godwitflow.tier import health_exchange
+from godwitflow.tier import join as joining
 from godwitflow.tier import log as logs
 from godwitflow.tier import metrics
 from godwitflow.tier import mirror as mirrors
@@ -32,15 +32,13 @@
 from godwitflow.tier import settings as node_settings
 from godwitflow.wire import messages
 
-MS_PER_S = 1_000.0
 SWEEP_S = 0.5
 RECENT_START_S = 5.0
 FIRST_START_WAIT_MS = 1_500.0
 RESTART_WAIT_MS = 120.0
 BACKLOG = 512
-ADDRESS_AGE_S = 2.0
 STOP_STEP_S = 0.1
-MIN_STOP_SHARE = 0.3  # callers keep an address up to three answers long
+MIN_STOP_AGES = 1.2  # callers come until their last answer is too old
 CLOSE_IDLE_SHARE = 0.58
 REFUSE_SHARE = 0.75
 MAX_STOP_SHARE = 0.92
@@ -54,20 +52,6 @@
     STOPPING = "stopping"
 
 
-class Directory(typing.Protocol):
-    """How callers ask which addresses to use, and how they are told."""
-
-    def near(self, request: http_messages.Request) -> ids.FailureDomain | None:
-        """Return the failure domain that the caller says it is in."""
-        ...
-
-    def answer(
-        self, addresses: list[str], age_s: float
-    ) -> http_messages.Response:
-        """Return the answer with these addresses."""
-        ...
-
-
 class Node:
     """One process of the query tier."""
 
@@ -80,14 +64,13 @@
         formats: mirrors.Formats,
         log: logs.Log,
         incarnation: int,
-        directory: Directory,
+        address_format: directories.AddressFormat,
         now_ms: typing.Callable[[], float],
     ) -> None:
         self.stage = Stage.STARTING
         self._reactor = reactor
         self._now_ms = now_ms
         self._settings = settings
-        self._directory_format = directory
         self._log = log
         self.metrics = metrics.Metrics()
         seed = random.getrandbits(32)
@@ -122,21 +105,19 @@
             cores=settings.cores,
         )
         self.load = node_load.NodeLoad(settings.cores)
-        self.dispatcher.on_call = self.load.on_call
         self.peers = peering.Peers(
             me,
             settings.seeds,
             now_ms,
             log,
-            self._on_members,
-            self._on_revisions,
-            self._revisions,
-            self._on_suspicions,
-            self._on_reports,
+            self,
             seed,
         )
+        self.directory = directories.Directory(
+            self.peers, address_format, settings.bounds.max_address_age_ms
+        )
         self.health = health_exchange.HealthExchange(
-            self.dispatcher, self.peers.tell_some
+            self.dispatcher, self.peers.send_to_some
         )
         self.replication = replicating.Replication(
             reactor,
@@ -149,7 +130,7 @@
             log,
             _first_wait_ms(settings),
         )
-        self._enlistment = enlistment.Enlistment(
+        self._join = joining.Join(
             reactor,
             settings,
             store,
@@ -159,7 +140,7 @@
         )
         self._callers = fronts.Listener(now_ms, self._handle)
         self._ready = fronts.Listener(now_ms, self._on_ready_check)
-        self._directory = fronts.Listener(now_ms, self._on_resolve)
+        self._directory = fronts.Listener(now_ms, self.directory.handle)
         self._scrape = fronts.Listener(now_ms, self._on_scrape)
         self._inner = fronts.Listener(now_ms, self.replication.answer)
         self._ports: list[typing.Any] = []
@@ -188,13 +169,14 @@
         self._every(peering.TICK_S, self.replication.tick)
         self._every(peering.TICK_S, self.health.tick)
         self._every(SWEEP_S, self._sweep)
+        self._every(SWEEP_S, self._note_load)
         self.dispatcher.apply_recent_start(True)
         self._reactor.callLater(
             RECENT_START_S, self.dispatcher.apply_recent_start, False
         )
         self.replication.start()
         self.peers.tick()
-        defer.ensureDeferred(self._enlistment.run())
+        defer.ensureDeferred(self._join.run())
         self._log.event("started", settings=repr(settings))
         return self._stopped
 
@@ -211,13 +193,20 @@
     ) -> None:
         loop = task.LoopingCall(action)
         loop.clock = self._reactor
-        loop.start(every_s, now=False).addErrback(self._on_loop_failure)
+        running = loop.start(every_s, now=False)
+        running.addErrback(self._on_loop_failure, every_s, action)
 
-    def _on_loop_failure(self, failure: typing.Any) -> None:
+    def _on_loop_failure(
+        self,
+        failure: typing.Any,
+        every_s: float,
+        action: typing.Callable[[], None],
+    ) -> None:
+        """Log a defect and go on; a node's requests must not end with it."""
         self._log.event("task_failed", error=failure.getTraceback())
-        self._reactor.stop()
+        self._every(every_s, action)
 
-    # News ---------------------------------------------------------------
+    # Updates ------------------------------------------------------------
 
     def apply_settings(self, settings: node_settings.NodeSettings) -> None:
         """Take settings that changed; addresses need a restart."""
@@ -228,6 +217,7 @@
             before, bounds=settings.bounds, seeds=settings.seeds
         )
         self.dispatcher.apply_retry_limits(settings.bounds.retry)
+        self.directory.max_age_ms = settings.bounds.max_address_age_ms
         self._log.event(
             "reloaded",
             bounds=repr(settings.bounds),
@@ -265,27 +255,32 @@
         self.peers.table.update_self(joined=True)
         self.peers.announce()
 
-    def _on_revisions(self, inner: str, message: messages.Revisions) -> None:
+    def on_revisions(self, inner: str, message: messages.Revisions) -> None:
+        """Take how far a peer's copies of the store go."""
         self.replication.on_revisions(inner, message)
 
-    def _revisions(self) -> messages.Revisions:
+    def revisions(self) -> messages.Revisions:
+        """Return how far this node's own copies go."""
         return self.replication.revisions()
 
     def _tell_strike(self, mark: ids.Fingerprint, crashes: int) -> None:
         entry = messages.Suspicion(mark, crashes, 0.0)
-        self.peers.tell(messages.Suspicions((entry,)))
+        self.peers.broadcast(messages.Suspicions((entry,)))
 
-    def _on_suspicions(self, message: messages.Suspicions) -> None:
+    def on_suspicions(self, message: messages.Suspicions) -> None:
+        """Take a peer's strikes against requests."""
         now_ms = self._now_ms()
         for entry in message.entries:
             self.dispatcher.strikes.add(
                 entry.fingerprint, entry.crashes, now_ms
             )
 
-    def _on_reports(self, message: messages.UpstreamReports) -> None:
+    def on_reports(self, message: messages.UpstreamReports) -> None:
+        """Take what a peer saw of upstreams."""
         self.health.on_reports(message)
 
-    def _on_members(self) -> None:
+    def on_members(self) -> None:
+        """Take that the member table has changed."""
         self.dispatcher.apply_nodes(self.peers.node_count())
 
     # Requests -----------------------------------------------------------
@@ -305,20 +300,6 @@
             http_messages.own_response(200 if ready else 503, self.stage.value)
         )
 
-    def _on_resolve(self, exchange: callers.Exchange) -> None:
-        near = self._directory_format.near(exchange.request)
-        chosen = addresses.subset(
-            self.peers.ready(), near, exchange.caller_host
-        )
-        if not chosen:
-            exchange.answer(
-                http_messages.own_response(503, "no node is ready", 0.2)
-            )
-            return
-        most_s = self._settings.bounds.max_address_age_ms / MS_PER_S
-        age_s = min(ADDRESS_AGE_S, most_s)
-        exchange.answer(self._directory_format.answer(chosen, age_s))
-
     def _on_scrape(self, exchange: callers.Exchange) -> None:
         """Answer with every counter and latency as text."""
         connections = len(self._callers.connections)
@@ -335,7 +316,7 @@
 
     def _note_load(self) -> None:
         """Tell every member when this node becomes busy, or calm again."""
-        if not self.load.tick(self._now_ms()):
+        if not self.load.tick(self._now_ms(), self.dispatcher.calls):
             return
         shown = node_load.BUSY_LOAD if self.load.busy else 0.0
         self._log.event(
@@ -347,7 +328,6 @@
         self.peers.announce()
 
     def _sweep(self) -> None:
-        self._note_load()
         for listener in (
             self._callers,
             self._ready,
@@ -379,7 +359,8 @@
         if elapsed_ms >= CLOSE_IDLE_SHARE * grace_ms:
             self._callers.close_idle()
         idle = not self._callers.connections
-        over = elapsed_ms >= MIN_STOP_SHARE * grace_ms and idle
+        unnamed = elapsed_ms >= MIN_STOP_AGES * self.directory.age_ms
+        over = unnamed and idle
         if over or elapsed_ms >= MAX_STOP_SHARE * grace_ms:
             self._end()
 
--- a/packages/tier/src/godwitflow/tier/peers.py
+++ b/packages/tier/src/godwitflow/tier/peers.py
@@ -11,6 +11,7 @@
 
 from godwitflow.model import errors
 from godwitflow.model import ids
+from godwitflow.policy import addresses
 from godwitflow.policy import membership
 from godwitflow.tier import log as logs
 from godwitflow.wire import codec
@@ -18,10 +19,33 @@
 
 TICK_S = 0.1
 SEED_EVERY_MS = 1_000.0
-MAX_DATAGRAM_BYTES = 1_400
 ROWS_A_DATAGRAM = 12
 
 
+class Receiver(typing.Protocol):
+    """Who acts on what peers tell."""
+
+    def on_members(self) -> None:
+        """Take that the member table has changed."""
+        ...
+
+    def on_revisions(self, inner: str, message: messages.Revisions) -> None:
+        """Take how far a peer's copies of the store go."""
+        ...
+
+    def on_suspicions(self, message: messages.Suspicions) -> None:
+        """Take a peer's strikes against requests."""
+        ...
+
+    def on_reports(self, message: messages.UpstreamReports) -> None:
+        """Take what a peer saw of upstreams."""
+        ...
+
+    def revisions(self) -> messages.Revisions:
+        """Return how far this node's own copies go."""
+        ...
+
+
 class Peers(protocol.DatagramProtocol):
     """Owns the datagram socket and the member table."""
 
@@ -35,11 +59,7 @@
         seeds: typing.Sequence[str],
         now_ms: typing.Callable[[], float],
         log: logs.Log,
-        on_change: typing.Callable[[], None],
-        on_revisions: typing.Callable[[str, messages.Revisions], None],
-        revisions: typing.Callable[[], messages.Revisions],
-        on_suspicions: typing.Callable[[messages.Suspicions], None],
-        on_reports: typing.Callable[[messages.UpstreamReports], None],
+        receiver: Receiver,
         seed: int,
     ) -> None:
         self.table = membership.Membership(me, seed)
@@ -47,11 +67,7 @@
         self._seeds = [inner for inner in seeds if inner != me.inner]
         self._now_ms = now_ms
         self._log = log
-        self._on_change = on_change
-        self._on_revisions = on_revisions
-        self._revisions = revisions
-        self._on_suspicions = on_suspicions
-        self._on_reports = on_reports
+        self._receiver = receiver
         self._random = random.Random(seed)
         self._next_seed_ms = 0.0
         self._states: dict[ids.NodeId, messages.MemberState] = {}
@@ -81,15 +97,15 @@
 
     def announce(self) -> None:
         """Tell every member what this node says of itself now."""
-        self.tell(messages.Probe(0, (self.table.me,)))
+        self.broadcast(messages.Probe(0, (self.table.me,)))
 
-    def tell(self, message: messages.Message) -> None:
+    def broadcast(self, message: messages.Message) -> None:
         """Send a message to every living member but this one."""
         for row in self.living():
             if row.node != self.table.me.node:
                 self._send(row.inner, [message])
 
-    def tell_nodes(
+    def send_to(
         self, nodes: typing.Iterable[ids.NodeId], message: messages.Message
     ) -> None:
         """Send a message to some members."""
@@ -98,7 +114,7 @@
             if row is not None:
                 self._send(row.inner, [message])
 
-    def tell_some(self, message: messages.Message, count: int) -> None:
+    def send_to_some(self, message: messages.Message, count: int) -> None:
         """Send a message to a few living members, drawn anew each time."""
         others = [
             row for row in self.living() if row.node != self.table.me.node
@@ -157,13 +173,13 @@
                 )
             case messages.MembersPull():
                 self._send_table(header.inner)
-                self._send(header.inner, [self._revisions()])
+                self._send(header.inner, [self._receiver.revisions()])
             case messages.Revisions():
-                self._on_revisions(header.inner, message)
+                self._receiver.on_revisions(header.inner, message)
             case messages.Suspicions():
-                self._on_suspicions(message)
+                self._receiver.on_suspicions(message)
             case messages.UpstreamReports():
-                self._on_reports(message)
+                self._receiver.on_reports(message)
             case messages.MembersPush():
                 self.table.merge(now_ms, message.updates)
             case _:
@@ -192,19 +208,13 @@
             self._log.decision(
                 "members", changed=changed, forgotten=gone, known=len(states)
             )
-        self._on_change()
+        self._receiver.on_members()
 
     # Reading ------------------------------------------------------------
 
     def ready(self) -> list[messages.MemberUpdate]:
         """Return the members that callers may be named, self included."""
-        return [
-            row
-            for row in self.table.alive()
-            if row.joined
-            and row.caller
-            and row.state is messages.MemberState.ALIVE
-        ]
+        return addresses.ready(self.table.alive())
 
     def living(self) -> list[messages.MemberUpdate]:
         """Return the members that are not known to be dead."""
--- a/packages/tier/src/godwitflow/tier/piece.py
+++ b/packages/tier/src/godwitflow/tier/piece.py
@@ -19,8 +19,6 @@
 
 LINGER_MS = 600.0
 MS_PER_S = 1_000.0
-MISDIRECTED = 421
-SERVER_ERROR = 500
 
 
 @dataclasses.dataclass(slots=True)
@@ -57,7 +55,7 @@
     """Why a piece has no response."""
 
     NO_UPSTREAM = "no_upstream"
-    DARK = "dark"
+    UNAVAILABLE = "unavailable"
     REJECTED = "rejected"
     NO_BUDGET = "no_budget"
     FAILED = "failed"
@@ -98,7 +96,7 @@
         service: ids.ServiceName,
         wanted: typing.Callable[[messages.Response], bool],
         on_result: typing.Callable[["Piece", Result], None],
-        skip_dark: bool = False,
+        skip_unavailable: bool = False,
     ) -> None:
         self.dispatcher = dispatcher
         self.work = work
@@ -110,7 +108,7 @@
         self.waiting = False
         self._wanted = wanted
         self._on_result = on_result
-        self._skip_dark = skip_dark
+        self._skip_unavailable = skip_unavailable
         self._pace = dispatcher.pace(work.route)
         self._used: set[ids.UpstreamId] = set()
         self._live: dict[int, _Live] = {}
@@ -124,19 +122,19 @@
         return self.may_have_run or bool(self._live)
 
     @property
-    def dark(self) -> bool:
+    def unavailable(self) -> bool:
         """Whether the service cannot be expected to answer."""
-        return self.service.dark(self.dispatcher.now_ms())
+        return self.service.unavailable(self.dispatcher.now_ms())
 
     def start(self) -> None:
         """Send the request, or queue it until a place is free.
 
-        A shard that is dark is left out at once; the answer of a service
-        on its own is worth a try.
+        A shard that is unavailable is left out at once; the answer of a
+        service on its own is worth a try.
         """
         self.service.budget.on_request(self.dispatcher.now_ms())
-        if self._skip_dark and self.dark:
-            self._lack = Lack.DARK
+        if self._skip_unavailable and self.unavailable:
+            self._lack = Lack.UNAVAILABLE
             self._settle()
             return
         self._send_or_wait()
@@ -166,7 +164,7 @@
             functools.partial(self._on_outcome, key),
         )
         self._live[key] = live
-        self._used.add(upstream.registration.upstream)
+        self._used.add(upstream.name)
         self.sends += 1
         upstream.note_start(key, now_ms)
         live.connection = upstream.pool.start(call)
@@ -180,7 +178,7 @@
     def _withdraw(self, key: int, upstream: services.Upstream) -> None:
         """Undo a start whose place was taken by another call meanwhile."""
         del self._live[key]
-        self._used.discard(upstream.registration.upstream)
+        self._used.discard(upstream.name)
         self.sends -= 1
         upstream.note_end(key)
 
@@ -192,7 +190,7 @@
             names.deadline_out,
             left_ms,
             names.expect_upstream_out,
-            upstream.registration.upstream.encode("latin-1", "replace"),
+            upstream.name.encode("latin-1", "replace"),
             self.work.tail,
         )
 
@@ -290,7 +288,7 @@
             "call_failed",
             request=self.work.request_text,
             service=self.service.name,
-            upstream=live.upstream.registration.upstream,
+            upstream=live.upstream.name,
             outcome=what,
             elapsed_ms=round(elapsed_ms, 1),
         )
@@ -298,7 +296,7 @@
     def _rejected(self, outcome: upstreams.Outcome) -> bool:
         match outcome:
             case upstreams.Replied(response):
-                if response.status == MISDIRECTED:
+                if response.status == messages.MISDIRECTED:
                     return True
                 mark = self.dispatcher.names.not_run
                 return messages.find(response.headers, mark) is not None
--- a/packages/tier/src/godwitflow/tier/replication.py
+++ b/packages/tier/src/godwitflow/tier/replication.py
@@ -33,6 +33,7 @@
 FETCH_CONNECTIONS = 4
 STATE_PATH = b"/state/"
 DEFLATE_LEVEL = 1
+DEFLATED = [(b"Content-Encoding", b"deflate")]
 
 
 class Members(typing.Protocol):
@@ -42,7 +43,7 @@
         """Return the members that are not known to be dead."""
         ...
 
-    def tell_nodes(
+    def send_to(
         self, nodes: typing.Iterable[ids.NodeId], message: messages.Message
     ) -> None:
         """Send a message to some members."""
@@ -50,12 +51,12 @@
 
 
 class Taker(typing.Protocol):
-    """Who is told of news, a kind at a time."""
+    """Who is told of changes, a kind at a time."""
 
     def take(
-        self, kind: str, news: list[objects.Change], lapsed: bool
+        self, kind: str, changes: list[objects.Change], lapsed: bool
     ) -> None:
-        """Take news; ``lapsed`` says that the store was away before."""
+        """Take changes; ``lapsed`` says that the store was away before."""
         ...
 
 
@@ -139,7 +140,7 @@
         sound = any(follower.sound for follower in self.followers.values())
         told = store_watch.audience(rank, self._ranked, sound)
         if told:
-            self.members.tell_nodes(told, self.revisions())
+            self.members.send_to(told, self.revisions())
 
     def pass_on(self) -> None:
         """Pass on that the store was reached, soon after it was heard."""
@@ -149,17 +150,17 @@
     def took(
         self,
         kind: str,
-        news: list[objects.Change],
+        changes: list[objects.Change],
         lapsed: bool,
     ) -> None:
-        """Hand on news, and tell others of them at once."""
-        self._taker.take(kind, news, lapsed)
+        """Hand on changes, and tell others of them at once."""
+        self._taker.take(kind, changes, lapsed)
         self._announce()
 
     # Hearing ------------------------------------------------------------
 
     def on_revisions(self, inner: str, message: messages.Revisions) -> None:
-        """Take a peer's word, and fetch from it what is missing."""
+        """Take how far a peer's copies go; fetch from it what is missing."""
         for heard in message.kinds:
             follower = self.followers.get(heard.kind)
             if follower is not None:
@@ -175,26 +176,32 @@
         if follower is None or not after.isdigit():
             exchange.answer(http_messages.own_response(404, "no such state"))
             return
-        exchange.answer(self._state(kind, follower.copy, int(after)))
+        exchange.answer(
+            self._state(kind, follower.copy, int(after), _deflates(request))
+        )
 
     def _state(
-        self, kind: str, copy: copies.Copy, after: int
+        self, kind: str, copy: copies.Copy, after: int, deflated: bool
     ) -> http_messages.Response:
-        """Return what a peer lacks, deflated.
+        """Return what a peer lacks, deflated if it takes that.
 
-        After a change many peers lack the same, so the last answer of a
-        kind is kept.
+        After a change many peers lack the same, so the last deflated
+        answer of a kind is kept.
         """
+        if not deflated:
+            data = self._encoded(copy, after)
+            return http_messages.Response(200, b"OK", [], data)
         asked = (after, copy.revision)
         kept = self._states.get(kind)
         if kept is None or kept[0] != asked:
-            header = codec.Header(codec.VERSION, self.me, 0, "")
-            delta = _to_wire(copy.since(after))
-            data = zlib.compress(codec.encode(header, [delta]), DEFLATE_LEVEL)
+            data = zlib.compress(self._encoded(copy, after), DEFLATE_LEVEL)
             kept = (asked, data)
             self._states[kind] = kept
-        coding = [(b"Content-Encoding", b"deflate")]
-        return http_messages.Response(200, b"OK", coding, kept[1])
+        return http_messages.Response(200, b"OK", DEFLATED, kept[1])
+
+    def _encoded(self, copy: copies.Copy, after: int) -> bytes:
+        header = codec.Header(codec.VERSION, self.me, 0, "")
+        return codec.encode(header, [_to_wire(copy.since(after))])
 
     async def fetch(self, inner: str, kind: str, after: int) -> copies.Delta:
         """Fetch what a peer holds beyond a revision.
@@ -215,7 +222,7 @@
         data = http_messages.serialize_request(
             b"GET",
             STATE_PATH + kind.encode() + b"?after=%d" % after,
-            [(b"Host", inner.encode())],
+            [(b"Host", inner.encode()), (b"Accept-Encoding", b"deflate")],
             None,
         )
         outcome = await pool.exchange(
@@ -223,7 +230,7 @@
         )
         match outcome:
             case upstreams.Replied(response) if response.status == 200:
-                return _from_reply(_inflated(response.body))
+                return _from_reply(_plain(response))
             case _:
                 raise errors.StoreUnavailableError(
                     f"no state of {kind} from {inner}"
@@ -248,6 +255,17 @@
     )
 
 
+def _deflates(request: http_messages.Request) -> bool:
+    accepted = http_messages.find(request.headers, b"accept-encoding")
+    return accepted is not None and b"deflate" in accepted
+
+
+def _plain(response: http_messages.Response) -> bytes:
+    """Return a reply's body; a peer of an earlier version sends it plain."""
+    coding = http_messages.find(response.headers, b"content-encoding")
+    return response.body if coding is None else _inflated(response.body)
+
+
 def _inflated(data: bytes) -> bytes:
     """Inflate a reply; raises :class:`errors.CodecError`."""
     inflater = zlib.decompressobj()
--- a/packages/tier/src/godwitflow/tier/run.py
+++ b/packages/tier/src/godwitflow/tier/run.py
@@ -4,6 +4,7 @@
 
 from godwitflow.http1 import callers
 from godwitflow.http1 import messages
+from godwitflow.policy import run_times
 from godwitflow.policy import strikes
 from godwitflow.tier import dispatcher as dispatching
 from godwitflow.tier import log as logs
@@ -49,6 +50,14 @@
             self._timer.cancel()
         self._timer = None
 
+    def _elapsed_ms(self) -> float:
+        """Return how long the request has been here."""
+        return self.dispatcher.now_ms() - self.work.received_at_ms
+
+    def _final_at_ms(self) -> float:
+        """Return when the request is given up, in time for its caller."""
+        return run_times.final_at_ms(self.work.deadline_at_ms)
+
     def _answer(self, response: messages.Response) -> None:
         self.done = True
         self._stop_timer()
@@ -56,8 +65,9 @@
         figures = self.dispatcher.metrics
         figures.count("answers", status=str(response.status))
         route = self.work.route
-        elapsed_ms = self.dispatcher.now_ms() - self.work.received_at_ms
-        figures.record(route.name, str(route.priority), "query", elapsed_ms)
+        figures.record(
+            route.name, str(route.priority), "query", self._elapsed_ms()
+        )
         self.exchange.answer(response)
 
     def _on_gone(self) -> None:
@@ -90,18 +100,16 @@
         self._stop_timer()
         self._note_crashes()
         self.dispatcher.metrics.count("callers_gone")
-        elapsed_ms = self.dispatcher.now_ms() - self.work.received_at_ms
         self.log.decision(
             "caller_gone",
             request=self.work.request_text,
             route=self.work.route.name,
-            elapsed_ms=round(elapsed_ms, 1),
+            elapsed_ms=round(self._elapsed_ms(), 1),
         )
 
     def _refuse(
         self, status: int, reason: str, retry_after_s: float | None = None
     ) -> None:
-        elapsed_ms = self.dispatcher.now_ms() - self.work.received_at_ms
         self.log.decision(
             "refused",
             request=self.work.request_text,
@@ -109,7 +117,7 @@
             attempts=self.work.route.attempts,
             status=status,
             reason=reason,
-            elapsed_ms=round(elapsed_ms, 1),
+            elapsed_ms=round(self._elapsed_ms(), 1),
             version=self.work.version,
         )
         self._answer(messages.own_response(status, reason, retry_after_s))
--- a/packages/tier/src/godwitflow/tier/services.py
+++ b/packages/tier/src/godwitflow/tier/services.py
@@ -24,6 +24,11 @@
     misdirected: bool = False
     calls: dict[int, float] = dataclasses.field(default_factory=dict)
 
+    @property
+    def name(self) -> ids.UpstreamId:
+        """The upstream's id."""
+        return self.registration.upstream
+
     def note_start(self, key: int, now_ms: float) -> None:
         """Count a call as under way."""
         self.calls[key] = now_ms
@@ -64,14 +69,14 @@
         self.waiting: list[tuple[int, int, Waiter]] = []
         self._draining = False
 
-    def dark(self, now_ms: float) -> bool:
+    def unavailable(self, now_ms: float) -> bool:
         """Tell whether no upstream of the service can be expected to answer.
 
         An upstream whose spell is over counts as sound again, so that
         the next request tries it.
         """
         return all(
-            upstream.misdirected or upstream.health.dark(now_ms)
+            upstream.misdirected or upstream.health.unavailable(now_ms)
             for upstream in self.upstreams
         )
 
--- a/packages/tier/src/godwitflow/tier/single_run.py
+++ b/packages/tier/src/godwitflow/tier/single_run.py
@@ -2,11 +2,11 @@
 
 from godwitflow.http1 import messages
 from godwitflow.model import ids
-from godwitflow.policy import gather_times
+from godwitflow.policy import run_times
 from godwitflow.tier import piece as pieces
 from godwitflow.tier import run
 
-LATE_MAX_SHARE = 0.6
+NOT_RUN_STATUSES = (408, 421, 429, 503)
 
 
 class SingleRun(run.Run):
@@ -25,11 +25,12 @@
         if self.done:
             return
         if self.work.idempotent:
-            late_ms = self.dispatcher.pace(self.work.route).late.value
-            target_ms = self.work.route.target_ms
-            late_ms = min(late_ms, LATE_MAX_SHARE * target_ms)
-            now_ms = self.dispatcher.now_ms()
-            late_at_ms = min(now_ms + late_ms, self._final_at_ms())
+            late_at_ms = run_times.single_hedge_at_ms(
+                self.dispatcher.now_ms(),
+                self.work.deadline_at_ms,
+                self.work.route.target_ms,
+                self.dispatcher.pace(self.work.route).late.value,
+            )
             self._at(late_at_ms, self._on_late)
         else:
             self._at(self._final_at_ms(), self._on_final)
@@ -38,8 +39,13 @@
         return response.status < 500 and self._proven(response)
 
     def _proven(self, response: messages.Response) -> bool:
-        """Tell whether a response is whole and signed, if a success."""
-        if run.encoded(response):
+        """Tell whether a response may be passed on.
+
+        A success must be signed. A status that promises that nothing ran
+        is kept only where the upstream says so; such responses are taken
+        as rejections before they come here.
+        """
+        if run.encoded(response) or response.status in NOT_RUN_STATUSES:
             return False
         signature = self.dispatcher.names.signature
         signed = messages.find(response.headers, signature) is not None
@@ -51,9 +57,6 @@
     def _ran_well(self) -> bool:
         return isinstance(self._piece.result, pieces.Got)
 
-    def _final_at_ms(self) -> float:
-        return self.work.deadline_at_ms - gather_times.FINAL_MARGIN_MS
-
     def _on_late(self) -> None:
         self._piece.hedge()
         self._at(self._final_at_ms(), self._on_final)
--- a/packages/tier/tests/net.py
+++ b/packages/tier/tests/net.py
@@ -50,6 +50,8 @@
     ENCODED = "encoded"
     MISDIRECTED = "misdirected"
     UNSIGNED = "unsigned"
+    FULL_UNMARKED = "full_unmarked"
+    LATE_UNMARKED = "late_unmarked"
 
 
 @dataclasses.dataclass
@@ -130,6 +132,10 @@
                 self.net.callLater(wait_s, self._lose)
             case Mode.ERROR:
                 self._reply(wait_s, 500, sign, b"broken")
+            case Mode.FULL_UNMARKED:
+                self._reply(wait_s, 503, sign, b"")
+            case Mode.LATE_UNMARKED:
+                self._reply(wait_s, 429, sign, b"")
             case Mode.ENCODED:
                 coded = [*sign, (b"Content-Encoding", b"gzip")]
                 self._reply(wait_s, 200, coded, upstream.body)
--- a/packages/tier/tests/test_gather_run.py
+++ b/packages/tier/tests/test_gather_run.py
@@ -8,6 +8,7 @@
 import loads
 import net
 
+from godwitflow.policy import routing
 from godwitflow.tier import gather_run
 
 Mode = net.Mode
@@ -99,7 +100,7 @@
         self.assertEqual("late_answer", event)
         self.assertEqual("s0", fields["last"])
 
-    def test_dark_shard_no_longer_holds_answers_back(self):
+    def test_unavailable_shard_no_longer_holds_answers_back(self):
         world = net.World(shards=4)
         loads.warm(world)
         loads.all_of(world, "s0", mode=Mode.SILENT)
@@ -125,7 +126,7 @@
             late += caller.answered_at_ms - start_ms > 18.0
         self.assertLessEqual(late, 2)
 
-    def test_dark_shard_is_back_soon_after_it_answers(self):
+    def test_unavailable_shard_is_back_soon_after_it_answers(self):
         world = net.World(shards=4)
         loads.warm(world)
         loads.all_of(world, "s0", mode=Mode.SILENT)
@@ -145,7 +146,24 @@
         self.assertIn(caller.response.status, (502, 503))
         self.assertLess(caller.answered_at_ms - start_ms, 25.0)
 
-    def test_two_dark_shards_are_refused_as_not_run_with_a_time(self):
+    def test_answer_with_no_part_is_none_however_small_the_least_share(self):
+        world = net.World(shards=3)
+        gather = routing.Gather(("s0", "s1", "s2"), 5, 0.0)
+        world.routes[-1] = net.route("all", b"/all/", gather)
+        world.apply()
+        for number in range(3):
+            loads.all_of(world, f"s{number}", mode=Mode.REJECT)
+        start_ms = world.net.now_ms()
+        caller = world.ask(b"/all/x")
+        self.assertIn(caller.response.status, (502, 503))
+        self.assertLess(caller.answered_at_ms - start_ms, 50.0)
+
+    def test_share_is_met_exactly(self):
+        gather = routing.Gather(tuple(range(100)), 5, 0.07)
+        self.assertTrue(gather.suffices(7))
+        self.assertFalse(gather.suffices(6))
+
+    def test_two_unavailable_shards_are_refused_as_not_run_with_a_time(self):
         world = net.World(shards=4)
         loads.warm(world)
         loads.all_of(world, "s0", mode=Mode.SILENT)
@@ -161,7 +179,7 @@
         after = sum(loads.runs(world, f"s{number}") for number in (2, 3))
         self.assertEqual(before, after)
 
-    def test_trial_of_dark_shards_ends_by_the_target(self):
+    def test_trial_of_unavailable_shards_ends_by_the_target(self):
         world = net.World(shards=4)
         loads.warm(world)
         loads.all_of(world, "s0", mode=Mode.SILENT)
--- a/packages/tier/tests/test_log.py
+++ b/packages/tier/tests/test_log.py
@@ -4,6 +4,8 @@
 import os
 import unittest
 
+from twisted import logger
+
 from godwitflow.tier import log as logs
 
 
@@ -26,6 +28,20 @@
             ("n1", "started", 80), (row["node"], row["event"], row["port"])
         )
 
+    def test_error_that_nobody_took_becomes_a_line(self):
+        publisher = logger.LogPublisher(self.log.failure)
+        source = logger.Logger(observer=publisher)
+        try:
+            raise RuntimeError("lost")
+        except RuntimeError:
+            source.failure("a task ended")
+        source.info("a connection was made")
+        (row,) = self.read()
+        self.assertEqual(
+            ("error", "a task ended"), (row["event"], row["where"])
+        )
+        self.assertIn("RuntimeError: lost", row["error"])
+
     def test_decisions_are_bounded_and_the_rest_is_counted(self):
         for _ in range(1_000):
             self.log.decision("refused", request="r")
--- a/packages/tier/tests/test_node.py
+++ b/packages/tier/tests/test_node.py
@@ -44,7 +44,7 @@
         return upstream.registration()
 
 
-class Directory:
+class AddressFormat:
     """Names no failure domain, and answers in plain text."""
 
     def near(self, request):
@@ -126,7 +126,7 @@
             Formats(),
             self.log,
             1,
-            Directory(),
+            AddressFormat(),
             lambda: self.reactor.seconds() * 1_000.0,
         )
         self.ended = []
@@ -227,6 +227,41 @@
         self.assertEqual([None], life.ended)
         self.assertTrue(slow.transport.value())
 
+    def test_idle_node_serves_until_its_address_has_grown_old(self):
+        life = Life()
+        life.fill()
+        life.run(1_000.0)
+        life.node.stop()
+        life.run(life.node.directory.age_ms + 100.0)
+        self.assertEqual([], life.ended)
+        self.assertIn(b"whole", life.ask(1, b"/one/"))
+        life.run(GRACE_MS)
+        self.assertEqual([None], life.ended)
+
+    def test_defect_in_a_loop_is_logged_and_ends_nothing(self):
+        life = Life()
+        life.fill()
+        life.run(1_000.0)
+        failing = [RuntimeError("once")]
+        ticked = []
+
+        def action():
+            ticked.append(1)
+            if failing:
+                raise failing.pop()
+
+        life.node._every(0.1, action)
+        life.run(1_000.0)
+        self.assertGreater(len(ticked), 5)
+        errors_seen = [
+            row["error"]
+            for event, row in life.log.lines
+            if event == "task_failed"
+        ]
+        self.assertEqual(1, len(errors_seen))
+        self.assertIn("once", errors_seen[0])
+        self.assertIn(b"whole", life.ask(1, b"/one/"))
+
     def test_stop_ends_within_the_grace_whatever_callers_do(self):
         life = Life()
         life.fill()
@@ -263,8 +298,7 @@
         life.run(1_000.0)
         for calls, load in ((5_000, node_load.BUSY_LOAD), (0, 0.0)):
             for _ in range(4):
-                for _ in range(calls):
-                    life.node.dispatcher.on_call()
+                life.node.dispatcher.calls += calls
                 life.run(500.0)
             self.assertEqual(load, life.node.peers.table.me.load)
         events = [event for event, _ in life.log.lines]
--- a/packages/tier/tests/test_replication.py
+++ b/packages/tier/tests/test_replication.py
@@ -43,7 +43,7 @@
     def living(self):
         return self.fleet.rows
 
-    def tell_nodes(self, nodes, message):
+    def send_to(self, nodes, message):
         self.told += len(nodes)
         for name in nodes:
             node = self.fleet.by_name[name]
@@ -129,10 +129,11 @@
             self.fleet.store.write(KIND, "main", text)
             self.fleet.run(400.0)
 
-    def ask(self, after):
+    def ask(self, after, deflate=True):
         asker = Asker()
+        fields = [(b"Accept-Encoding", b"deflate")] if deflate else []
         request = http_messages.Request(
-            b"GET", b"/state/servers?after=%d" % after, [], None, True, 0.0
+            b"GET", b"/state/servers?after=%d" % after, fields, None, True, 0.0
         )
         self.node.answer(callers.Exchange(asker, request))
         return asker.response
@@ -155,6 +156,15 @@
         (change,) = replication._from_reply(newer).changes
         self.assertEqual(["last"], change.object.spec["routes"])
 
+    def test_peer_of_an_earlier_version_gets_a_plain_reply(self):
+        plain = self.ask(self.after, deflate=False)
+        deflated = self.ask(self.after)
+        self.assertEqual([], plain.headers)
+        self.assertEqual(plain.body, replication._plain(plain))
+        self.assertEqual(plain.body, replication._plain(deflated))
+        delta = replication._from_reply(plain.body)
+        self.assertEqual(1, len(delta.changes))
+
     def test_reply_that_cannot_be_inflated_is_refused(self):
         body = self.ask(self.after).body
         for bad in (b"", b"garbage", body[:-5], b"x" + body):
@@ -213,7 +223,15 @@
         ]
         self.assertEqual([], lack)
 
-    def test_word_of_a_lost_store_grows_old_everywhere(self):
+    def test_node_without_a_copy_vouches_for_nothing(self):
+        fleet = Fleet(9)
+        told = [node.followers[KIND].revision() for node in fleet.nodes]
+        without = [row for row in told if row.revision == 0]
+        self.assertGreater(len(without), 0)
+        for row in without:
+            self.assertFalse(row.sound)
+
+    def test_announcements_grow_old_everywhere_when_the_store_is_lost(self):
         fleet = Fleet(64)
         fleet.run(3_000.0)
         fleet.store.refuse = lambda caller: True
--- a/packages/tier/tests/test_single_run.py
+++ b/packages/tier/tests/test_single_run.py
@@ -112,6 +112,15 @@
         for _ in range(10):
             self.assertEqual(200, world.ask(b"/one/").response.status)
 
+    def test_status_that_promises_no_run_is_not_taken_from_one_that_ran(self):
+        for mode in (Mode.FULL_UNMARKED, Mode.LATE_UNMARKED):
+            world = net.World()
+            loads.all_of(world, "one", mode=mode)
+            caller = world.ask(b"/once/")
+            self.assertEqual(1, loads.runs(world, "one"))
+            self.assertEqual(502, caller.response.status)
+            self.assertIsNone(net.value(caller.response, b"x-sign"))
+
     def test_log_leads_from_a_request_to_the_upstream_at_fault(self):
         world = net.World(replicas=1)
         loads.all_of(world, "one", mode=Mode.RESET)
