Count bytes by purpose and failure domain

Change: a node counts payload bytes sent and received by purpose (upstream calls, fetched copies, membership, announcements, reports of upstreams) and by whether the peer is in its own failure domain; on the metrics page, in a log line every 10 s and in the line at stop.

--- a/packages/http1/src/godwitflow/http1/upstreams.py
+++ b/packages/http1/src/godwitflow/http1/upstreams.py
@@ -16,6 +16,7 @@
 from twisted.internet import error as net_error
 from twisted.internet import protocol
 
+from godwitflow.http1 import byte_count
 from godwitflow.http1 import messages
 
 MAX_RESPONSE_BYTES = 16_777_216
@@ -87,10 +88,11 @@
     """The interface of the pool that owns a connection.
 
     ``id_header`` is the lower-case name of the header in which responses
-    echo the request id.
+    echo the request id. ``bytes_carried`` counts the owner's traffic.
     """
 
     id_header: bytes
+    bytes_carried: byte_count.ByteCount
 
     def now_ms(self) -> float:
         """Return the time of the monotonic clock in milliseconds."""
@@ -146,7 +148,11 @@
         if call.head_only or len(call.data) > LARGE_REQUEST_BYTES:
             self._no_reuse = True
         if self.was_connected:
-            self.transport.write(call.data)
+            self._write_request(call)
+
+    def _write_request(self, call: Call) -> None:
+        self.owner.bytes_carried.sent += len(call.data)
+        self.transport.write(call.data)
 
     def cancel(self) -> None:
         """Cancel the current request by closing the connection."""
@@ -178,7 +184,7 @@
         if self._tcp_keepalive:
             self._enable_tcp_keepalive()
         if self.call is not None:
-            self.transport.write(self.call.data)
+            self._write_request(self.call)
 
     def _enable_tcp_keepalive(self) -> None:
         """Let the kernel detect a peer that no longer responds."""
@@ -220,6 +226,7 @@
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Parse received bytes and deliver the response, if complete."""
+        self.owner.bytes_carried.received += len(data)
         if self.closed:
             return
         if self.call is None:
--- a/packages/http1/tests/test_upstreams.py
+++ b/packages/http1/tests/test_upstreams.py
@@ -6,6 +6,7 @@
 from hypothesis import strategies
 import transports
 
+from godwitflow.http1 import byte_count
 from godwitflow.http1 import upstreams
 
 RESPONSE = (
@@ -30,6 +31,7 @@
     """Records the connections reported as idle and as closed."""
 
     id_header = b"request-id"
+    bytes_carried = byte_count.ByteCount()
 
     def __init__(self):
         self.idle = []
--- a/packages/tier/src/godwitflow/tier/dispatcher.py
+++ b/packages/tier/src/godwitflow/tier/dispatcher.py
@@ -26,6 +26,7 @@
 from godwitflow.tier import metrics as metrics_module
 from godwitflow.tier import pool
 from godwitflow.tier import services
+from godwitflow.tier import traffic as traffic_module
 
 # Initial latency estimates, as shares of a route's target time.
 INITIAL_MEDIAN_SHARE = 0.15
@@ -62,6 +63,7 @@
         now_ms: typing.Callable[[], float],
         header_names: headers.HeaderNames,
         failure_domain: ids.FailureDomain,
+        traffic: traffic_module.Traffic,
         retry_limits: retry_budget.RetryLimits,
         log: logs.Log,
         metrics: metrics_module.Metrics,
@@ -82,6 +84,7 @@
         self.call_count = 0
         self.random = random.Random(seed)
         self._failure_domain = failure_domain
+        self._traffic = traffic
         self._retry_limits = retry_limits
         self._services: dict[ids.ServiceName, services.Service] = {}
         self._upstreams: dict[ids.UpstreamId, services.Upstream] = {}
@@ -171,6 +174,9 @@
             self.header_names.request_id,
             self.now_ms,
             service.dispatch_queue,
+            bytes_carried=self._traffic.count_for(
+                traffic_module.Purpose.UPSTREAM_CALLS, entry.failure_domain
+            ),
         )
         upstream = services.Upstream(
             entry,
--- a/packages/tier/src/godwitflow/tier/node.py
+++ b/packages/tier/src/godwitflow/tier/node.py
@@ -31,10 +31,12 @@
 from godwitflow.tier import replication
 from godwitflow.tier import self_registration
 from godwitflow.tier import settings as node_settings
+from godwitflow.tier import traffic
 from godwitflow.wire import messages
 
 CHECK_INTERVAL_S = 0.5
 RECENT_START_S = 5.0
+TRAFFIC_LOG_INTERVAL_S = 10.0
 FIRST_START_WAIT_MS = 1_500.0
 RESTART_WAIT_MS = 120.0
 LISTEN_BACKLOG = 512
@@ -75,12 +77,14 @@
         self._settings = settings
         self._log = log
         self.metrics = metrics.Metrics()
+        self.traffic = traffic.Traffic(settings.failure_domain)
         seed = random.getrandbits(32)
         self.dispatcher = dispatching.Dispatcher(
             reactor,
             now_ms,
             header_names,
             settings.failure_domain,
+            self.traffic,
             settings.bounds.retry,
             log,
             self.metrics,
@@ -114,6 +118,7 @@
             log,
             self,
             seed,
+            self.traffic,
         )
         self.directory = directory.Directory(
             self.peers, address_codec, settings.bounds.max_address_age_ms
@@ -131,6 +136,7 @@
             now_ms,
             log,
             _first_list_delay_ms(settings),
+            self.traffic,
         )
         self._self_registration = self_registration.SelfRegistration(
             reactor,
@@ -181,6 +187,7 @@
         self._start_loop(peer_protocol.TICK_S, self.health_exchange.tick)
         self._start_loop(CHECK_INTERVAL_S, self._check_timeouts)
         self._start_loop(CHECK_INTERVAL_S, self._update_load)
+        self._start_loop(TRAFFIC_LOG_INTERVAL_S, self._log_traffic)
         self.dispatcher.apply_recent_start(True)
         self._reactor.callLater(
             RECENT_START_S, self.dispatcher.apply_recent_start, False
@@ -326,6 +333,7 @@
         members = self.peers.membership.all_members()
         lines = [
             *self.metrics.lines(),
+            *self.traffic.lines(),
             metrics.gauge_line("caller_connections", connections),
             metrics.gauge_line("members", len(members)),
             metrics.gauge_line("log_lines_left_out", self._log.dropped_total),
@@ -347,6 +355,10 @@
         self.peers.membership.update_self(load=announced_load)
         self.peers.announce()
 
+    def _log_traffic(self) -> None:
+        """Log the bytes carried since the start, for capacity planning."""
+        self._log.event("traffic", bytes_carried=self.traffic.summary())
+
     def _check_timeouts(self) -> None:
         for listener in (
             self._caller_listener,
@@ -397,7 +409,9 @@
             return
         self.replication.stop()
         self._log.event(
-            "stopped", connections=len(self._caller_listener.connections)
+            "stopped",
+            connections=len(self._caller_listener.connections),
+            bytes_carried=self.traffic.summary(),
         )
         self._stopped.callback(None)
 
--- a/packages/tier/src/godwitflow/tier/peer_protocol.py
+++ b/packages/tier/src/godwitflow/tier/peer_protocol.py
@@ -10,11 +10,13 @@
 
 from twisted.internet import protocol
 
+from godwitflow.http1 import byte_count
 from godwitflow.model import errors
 from godwitflow.model import ids
 from godwitflow.policy import address_choice
 from godwitflow.policy import membership
 from godwitflow.tier import log as logs
+from godwitflow.tier import traffic as traffic_module
 from godwitflow.wire import codec
 from godwitflow.wire import messages
 
@@ -67,6 +69,7 @@
         log: logs.Log,
         handler: MessageHandler,
         seed: int,
+        traffic: traffic_module.Traffic,
     ) -> None:
         self.membership = membership.Membership(me, seed)
         self.rejected_count = 0
@@ -78,6 +81,8 @@
         self._now_ms = now_ms
         self._log = log
         self._handler = handler
+        self._traffic = traffic
+        self._domains: dict[str, ids.FailureDomain] = {}
         self._random = random.Random(seed)
         self._next_seed_contact_ms = 0.0
         self._logged_states: dict[ids.NodeId, messages.MemberState] = {}
@@ -147,6 +152,7 @@
         )
         host, _, port = inner_address.rpartition(":")
         data = codec.encode(header, batch)
+        self._byte_count(inner_address, batch).sent += len(data)
         try:
             self.transport.write(data, (host, int(port)))
         except OSError as error:
@@ -154,6 +160,21 @@
                 "datagram_lost", peer=inner_address, error=str(error)
             )
 
+    def domain_of(self, inner_address: str) -> ids.FailureDomain | None:
+        """Return the failure domain of a member; None if it is unknown."""
+        return self._domains.get(inner_address)
+
+    def _byte_count(
+        self, inner_address: str, batch: typing.Sequence[messages.Message]
+    ) -> byte_count.ByteCount:
+        purpose = traffic_module.Purpose.MEMBERSHIP
+        match batch[0] if batch else None:
+            case messages.Revisions():
+                purpose = traffic_module.Purpose.ANNOUNCEMENTS
+            case messages.UpstreamReports():
+                purpose = traffic_module.Purpose.UPSTREAM_REPORTS
+        return self._traffic.count_for(purpose, self.domain_of(inner_address))
+
     # Receiving ----------------------------------------------------------
 
     def datagramReceived(  # noqa: N802
@@ -166,6 +187,9 @@
             self.rejected_count += 1
             return
         self.rejected_count += received.rejected
+        inner_address = received.header.inner_address
+        count = self._byte_count(inner_address, received.messages)
+        count.received += len(data)
         for message in received.messages:
             self._dispatch(received.header, message)
         self._report_changes()
@@ -227,6 +251,10 @@
             str(node) for node in self._logged_states if node not in states
         ]
         self._logged_states = states
+        self._domains = {
+            member.inner_address: member.failure_domain
+            for member in self.membership.all_members()
+        }
         if changed or forgotten:
             self._log.limited_event(
                 "members",
--- a/packages/tier/src/godwitflow/tier/pool.py
+++ b/packages/tier/src/godwitflow/tier/pool.py
@@ -5,6 +5,7 @@
 from twisted.internet import defer
 from twisted.internet import protocol
 
+from godwitflow.http1 import byte_count
 from godwitflow.http1 import upstreams
 
 CONNECT_TIMEOUT_S = 1.0
@@ -36,7 +37,7 @@
     Each connection carries one call at a time. ``on_capacity`` is called
     when a connection becomes idle or closes, so that another call can be
     sent. ``id_header`` is the lower-case name of the header in which
-    responses echo the request id.
+    responses echo the request id. ``bytes_carried`` may be shared by pools.
     """
 
     def __init__(
@@ -48,7 +49,9 @@
         now_ms: typing.Callable[[], float],
         on_capacity: typing.Callable[[], None],
         tcp_keepalive: bool = False,
+        bytes_carried: byte_count.ByteCount | None = None,
     ) -> None:
+        self.bytes_carried = bytes_carried or byte_count.ByteCount()
         self.id_header = id_header
         self.max_connections = max_connections
         self.opened_count = 0
--- a/packages/tier/src/godwitflow/tier/replication.py
+++ b/packages/tier/src/godwitflow/tier/replication.py
@@ -24,6 +24,7 @@
 from godwitflow.tier import follower as followers
 from godwitflow.tier import log as logs
 from godwitflow.tier import pool
+from godwitflow.tier import traffic as traffic_module
 from godwitflow.wire import codec
 from godwitflow.wire import messages
 
@@ -50,6 +51,10 @@
         """Send a message to some members."""
         ...
 
+    def domain_of(self, inner_address: str) -> ids.FailureDomain | None:
+        """Return the failure domain of a member; None if it is unknown."""
+        ...
+
 
 class ChangeListener(typing.Protocol):
     """Receives the changes of one kind at a time."""
@@ -78,6 +83,7 @@
         now_ms: typing.Callable[[], float],
         log: logs.Log,
         first_list_delay_ms: float,
+        traffic: traffic_module.Traffic,
     ) -> None:
         self.reactor = reactor
         self.store = store
@@ -87,6 +93,7 @@
         self.log = log
         self.stopped = False
         self._listener = listener
+        self._traffic = traffic
         self._pools: dict[str, pool.ConnectionPool] = {}
         self._deflated_deltas: dict[str, tuple[tuple[int, int], bytes]] = {}
         self._announced_at_ms = 0.0
@@ -237,6 +244,10 @@
                 b"request-id",
                 self.now_ms,
                 lambda: None,
+                bytes_carried=self._traffic.count_for(
+                    traffic_module.Purpose.FETCHED_COPIES,
+                    self.members.domain_of(inner_address),
+                ),
             )
             self._pools[inner_address] = connection_pool
         data = http_messages.serialize_request(
--- a/packages/tier/tests/simulation.py
+++ b/packages/tier/tests/simulation.py
@@ -18,6 +18,7 @@
 from godwitflow.tier import front
 from godwitflow.tier import headers
 from godwitflow.tier import metrics
+from godwitflow.tier import traffic
 
 HEADER_NAMES = headers.HeaderNames(
     request_id=b"x-id",
@@ -242,11 +243,13 @@
         self.reactor = SimulatedReactor()
         self.reactor.advance(1_000.0)
         self.log = RecordingLog()
+        self.traffic = traffic.Traffic(ids.FailureDomain("d1"))
         self.dispatcher = dispatcher.Dispatcher(
             self.reactor,
             self.reactor.now_ms,
             HEADER_NAMES,
             ids.FailureDomain("d1"),
+            self.traffic,
             retry_budget.RetryLimits(0.2, 58.0, 10_000.0),
             self.log,
             metrics.Metrics(),
--- a/packages/tier/tests/test_replication.py
+++ b/packages/tier/tests/test_replication.py
@@ -12,6 +12,7 @@
 from godwitflow.policy import store_watch
 from godwitflow.store import memory_object_store
 from godwitflow.tier import replication
+from godwitflow.tier import traffic
 from godwitflow.wire import messages
 
 KIND = "servers"
@@ -41,6 +42,7 @@
             fleet.now_ms,
             simulation.RecordingLog(),
             0.0 if number < 3 else 500.0,
+            traffic.Traffic(ids.FailureDomain("d1")),
         )
 
     def non_dead_members(self):
