Prefer a steady replica of the node's own failure domain

Change: an upstream of the own domain that is neither degraded, cold, late nor half full gets the call; otherwise all take part in the draw as before.

--- a/packages/policy/src/godwitflow/policy/replica_choice.py
+++ b/packages/policy/src/godwitflow/policy/replica_choice.py
@@ -6,6 +6,11 @@
 proportional to the square of its cost, so that nodes with the same view
 do not all choose the same replica, and an expensive one still gets a call
 occasionally.
+
+A replica in the node's own failure domain is preferred while it answers
+normally, because traffic between domains is slower and costs more. As soon
+as it is slow, failing, cold, late or has many calls in flight, all
+replicas take part in the draw.
 """
 
 import dataclasses
@@ -29,6 +34,9 @@
 REPORT_CALLS_MAX = 3
 DEGRADED_LATENCY_RATIO = 1.8
 DEGRADED_FAILURE_SHARE = 0.15
+STEADY_MIN_CALLS = 2
+STEADY_SLOTS_SHARE = 0.5
+STEADY_CALL_MEDIANS = 2.0
 EJECT_AFTER = 3
 EJECT_MS = 500.0
 EJECT_MAX_MS = 1_000.0
@@ -182,6 +190,23 @@
         success_share = 1.0 - min(FAILURE_MAX, self.failure_share)
         return cost_ms / (success_share * success_share)
 
+    def steady(self, now_ms: float, median_ms: float, slots: int) -> bool:
+        """Return whether a call is expected to be answered as usual.
+
+        ``slots`` is the number of calls that the upstream runs at the same
+        time. A call that has taken ``STEADY_CALL_MEDIANS`` times the
+        median may be the first one of a pause or an outage.
+        """
+        self._decay(now_ms)
+        if self.degraded or now_ms < self.cold_until_ms:
+            return False
+        if self.in_flight >= max(STEADY_MIN_CALLS, STEADY_SLOTS_SHARE * slots):
+            return False
+        if self.oldest_call_at_ms is None:
+            return True
+        call_ms = now_ms - self.oldest_call_at_ms
+        return call_ms <= STEADY_CALL_MEDIANS * median_ms
+
     def needs_trial(self, now_ms: float) -> bool:
         """Return whether a trial call has to succeed before other calls."""
         return self.unresponsive or self.unavailable(now_ms)
@@ -212,6 +237,7 @@
     upstream: ids.UpstreamId
     health: ReplicaHealth
     other_domain: bool
+    slots: int
 
 
 def choose(
@@ -222,14 +248,21 @@
 ) -> Candidate | None:
     """Draw a candidate at random, or return None if there are none.
 
-    Unavailable upstreams are chosen only if there are no others.
+    Unavailable upstreams are chosen only if there are no others, and
+    upstreams of other failure domains only if none of the own is steady.
     """
     available = [
         candidate
         for candidate in candidates
         if not candidate.health.unavailable(now_ms)
     ]
-    pool = available or candidates
+    near = [
+        candidate
+        for candidate in available
+        if not candidate.other_domain
+        and candidate.health.steady(now_ms, median_ms, candidate.slots)
+    ]
+    pool = near or available or candidates
     if len(pool) <= 1:
         return pool[0] if pool else None
     weights = []
--- a/packages/policy/tests/test_observations.py
+++ b/packages/policy/tests/test_observations.py
@@ -56,8 +56,8 @@
         for _ in range(4):
             slow.on_peer_report(0.0, report)
         candidates = [
-            replica_choice.Candidate(ids.UpstreamId("a"), slow, False),
-            replica_choice.Candidate(ids.UpstreamId("b"), healthy, False),
+            replica_choice.Candidate(ids.UpstreamId("a"), slow, False, 2),
+            replica_choice.Candidate(ids.UpstreamId("b"), healthy, False, 2),
         ]
         rng = random.Random(1)
         chosen = [
@@ -112,7 +112,7 @@
 
     def _call(self, health, counts, now_ms, rng):
         candidates = [
-            replica_choice.Candidate(key, replica, False)
+            replica_choice.Candidate(key, replica, False, 2)
             for key, replica in health.items()
         ]
         name = replica_choice.choose(
--- a/packages/policy/tests/test_replica_choice.py
+++ b/packages/policy/tests/test_replica_choice.py
@@ -6,10 +6,13 @@
 from godwitflow.policy import replica_choice
 
 
+SLOTS = 3
+
+
 def share_of(replicas, name, now_ms=0.0, draws=2_000):
     rng = random.Random(3)
     candidates = [
-        replica_choice.Candidate(key, health, False)
+        replica_choice.Candidate(key, health, False, SLOTS)
         for key, health in replicas.items()
     ]
     hits = sum(
@@ -97,3 +100,61 @@
     def test_unavailable_replica_is_used_if_it_is_the_only_one(self):
         health = replica_choice.ReplicaHealth(ejected_until_ms=500.0)
         self.assertEqual(1.0, share_of({"a": health}, "a", 100.0))
+
+
+class FailureDomainTest(unittest.TestCase):
+    def setUp(self):
+        self.near = replica_choice.ReplicaHealth()
+        self.far = replica_choice.ReplicaHealth()
+
+    def share_near(self, now_ms=0.0, draws=1_000):
+        rng = random.Random(5)
+        candidates = [
+            replica_choice.Candidate("near", self.near, False, SLOTS),
+            replica_choice.Candidate("far", self.far, True, SLOTS),
+        ]
+        chosen = [
+            replica_choice.choose(candidates, now_ms, 10.0, rng).upstream
+            for _ in range(draws)
+        ]
+        return chosen.count("near") / draws
+
+    def test_steady_replica_of_the_own_domain_gets_all_calls(self):
+        self.assertEqual(1.0, self.share_near())
+        self.near.in_flight = 1
+        self.near.oldest_call_at_ms = 0.0
+        self.assertEqual(1.0, self.share_near(15.0))
+
+    def test_slow_replica_of_the_own_domain_loses_most_calls(self):
+        for step in range(10):
+            self.near.on_reply(step * 50.0, 60.0, 10.0)
+        self.assertLess(self.share_near(500.0), 0.25)
+        self.assertEqual(1.0, self.share_near(20_000.0))
+
+    def test_failing_replica_of_the_own_domain_loses_most_calls(self):
+        for step in range(10):
+            self.near.on_rejection(step * 50.0)
+        self.assertLess(self.share_near(500.0), 0.25)
+
+    def test_replica_with_a_late_call_shares_the_load(self):
+        self.near.in_flight = 1
+        self.near.oldest_call_at_ms = 0.0
+        self.assertLess(self.share_near(25.0), 0.7)
+        self.assertLess(self.share_near(80.0), 0.2)
+
+    def test_replica_whose_slots_are_taken_shares_the_load(self):
+        self.near.in_flight = 2
+        self.near.oldest_call_at_ms = 0.0
+        self.assertLess(self.share_near(1.0), 0.5)
+
+    def test_cold_replica_shares_the_load(self):
+        self.near.cold_until_ms = 1_000.0
+        self.assertLess(self.share_near(), 0.7)
+        self.assertEqual(1.0, self.share_near(1_001.0))
+
+    def test_lost_domain_is_replaced_by_others_until_it_is_back(self):
+        for _ in range(3):
+            self.near.on_failure(0.0)
+        self.assertEqual(0.0, self.share_near(100.0))
+        self.near.on_reply(600.0, 10.0, 10.0)
+        self.assertGreater(self.share_near(20_000.0), 0.99)
--- a/packages/tier/src/godwitflow/tier/dispatcher.py
+++ b/packages/tier/src/godwitflow/tier/dispatcher.py
@@ -242,7 +242,10 @@
                 by_id[name] = upstream
                 candidates.append(
                     replica_choice.Candidate(
-                        name, upstream.health, upstream.other_domain
+                        name,
+                        upstream.health,
+                        upstream.other_domain,
+                        upstream.registration.slots,
                     )
                 )
         chosen = replica_choice.choose(
