Keep the bytes of a mass start within the control budget

Every node contacted every member that the store lists and pulled its whole table: nodes x nodes x table, 490 kB a node at 70, 3.8 MB at 195. Each announcement was acknowledged with up to eight rows, and every row that a node learned at a start was passed on 21 times, which fills each probe for 46 s.

Change: listed members are contacted four at a time and only while they are unknown; one of the contacted sends its table. A starting node greets the members that it learns of, announcements are not acknowledged, and rows from tables and announcements are passed on only for members that leave or are gone. Nodes compare a digest of their tables, with the seeds at a start and every 10 s in their failure domain, and pull the table if it differs.

Ruled out: no greeting (some nodes are unknown to others for 4 s).

A leaving node is known to be leaving within 5 s though a fifth of the datagrams is lost.

--- a/packages/policy/src/godwitflow/policy/membership.py
+++ b/packages/policy/src/godwitflow/policy/membership.py
@@ -12,6 +12,7 @@
 import math
 import random
 import typing
+import zlib
 
 from godwitflow.model import ids
 from godwitflow.wire import messages
@@ -26,6 +27,7 @@
 INDIRECT_PROBES = 3
 MAX_UPDATES_PER_MESSAGE = 8
 RETRANSMIT_FACTOR = 3
+ANNOUNCEMENT_SEQUENCE = 0  # of a probe that only spreads updates
 
 _STATES = messages.MemberState
 
@@ -112,6 +114,19 @@
         rows = [member.update for member in self.members.values()]
         return (self.me, *rows)
 
+    def table_digest(self) -> int:
+        """Return a digest of the table that is equal on equal tables.
+
+        Loads are left out, and so are dead members, which are forgotten at
+        different times.
+        """
+        rows = sorted(
+            (update.node, update.incarnation, int(update.state), update.joined)
+            for update in self.all_members()
+            if update.state is not _STATES.DEAD
+        )
+        return zlib.crc32(repr(rows).encode())
+
     # Self -------------------------------------------------------------
 
     def update_self(self, **changes: typing.Any) -> None:
@@ -259,8 +274,15 @@
         inner_address: str,
         probe: messages.Probe,
     ) -> list[SendTo]:
-        """Merge a probe's updates and return an acknowledgement."""
-        self.merge(now_ms, probe.updates)
+        """Merge a probe's updates and return an acknowledgement.
+
+        An announcement is not acknowledged, because nobody waits for the
+        reply, and not passed on, because its sender tells every member.
+        """
+        is_announcement = probe.sequence == ANNOUNCEMENT_SEQUENCE
+        self.merge(now_ms, probe.updates, spread=not is_announcement)
+        if is_announcement:
+            return []
         ack = messages.ProbeAck(
             probe.sequence, self._updates_to_send(), self.digests
         )
@@ -295,17 +317,22 @@
         return [SendTo(target.node, target.inner_address, probe)]
 
     def merge(
-        self, now_ms: float, updates: typing.Iterable[messages.MemberUpdate]
+        self,
+        now_ms: float,
+        updates: typing.Iterable[messages.MemberUpdate],
+        spread: bool = True,
     ) -> None:
         """Merge updates into the table; the higher incarnation wins.
 
-        At equal incarnations the higher state wins.
+        At equal incarnations the higher state wins. Without ``spread``
+        this node passes only members that leave or are gone on, as other
+        members get the rows from the same source.
         """
         for update in updates:
             if update.node == self.me.node:
                 self._refute(update)
             else:
-                self._merge_one(now_ms, update)
+                self._merge_one(now_ms, update, spread)
 
     def _refute(self, update: messages.MemberUpdate) -> None:
         """Raise this node's incarnation above a false or outdated update."""
@@ -314,7 +341,12 @@
             return
         self.update_self(incarnation=update.incarnation + 1)
 
-    def _merge_one(self, now_ms: float, update: messages.MemberUpdate) -> None:
+    def _merge_one(
+        self,
+        now_ms: float,
+        update: messages.MemberUpdate,
+        spread: bool = True,
+    ) -> None:
         member = self.members.get(update.node)
         if member is None:
             if update.state is _STATES.DEAD:
@@ -330,7 +362,8 @@
             member.update = update
             member.state_since_ms = now_ms
         self._track_suspect_or_dead(update)
-        self._queue_update(update.node)
+        if spread or update.state is not _STATES.ALIVE:
+            self._queue_update(update.node)
         self.changed = True
 
     def _track_suspect_or_dead(self, update: messages.MemberUpdate) -> None:
--- a/packages/tier/src/godwitflow/tier/peer_protocol.py
+++ b/packages/tier/src/godwitflow/tier/peer_protocol.py
@@ -21,7 +21,12 @@
 from godwitflow.wire import messages
 
 TICK_S = 0.1
-SEED_INTERVAL_MS = 1_000.0
+SEED_INTERVAL_MS = 300.0
+START_MS = 3_000.0
+START_PULL_INTERVAL_MS = 600.0
+PULL_INTERVAL_MS = 10_000.0
+CONTACT_INTERVAL_MS = 200.0
+CONTACTS_PER_ROUND = 4
 MEMBERS_PER_DATAGRAM = 12
 
 
@@ -85,6 +90,11 @@
         self._domains: dict[str, ids.FailureDomain] = {}
         self._random = random.Random(seed)
         self._next_seed_contact_ms = 0.0
+        self._started_at_ms = now_ms()
+        self._next_pull_ms = now_ms() + START_PULL_INTERVAL_MS
+        self._greeted = {me.node}
+        self._contacts: list[str] = []
+        self._next_contact_ms = 0.0
         self._logged_states: dict[ids.NodeId, messages.MemberState] = {}
 
     # Sending ------------------------------------------------------------
@@ -97,13 +107,91 @@
         if isolated and now_ms >= self._next_seed_contact_ms:
             self._next_seed_contact_ms = now_ms + SEED_INTERVAL_MS
             self.contact(self._seeds)
+        self._contact_next(now_ms)
+        self._pull_table(now_ms)
         self._report_changes()
 
-    def contact(self, inner_addresses: typing.Iterable[str]) -> None:
-        """Introduce this node to addresses and pull their member tables."""
-        introduction = messages.Probe(0, (self.membership.me,))
+    def contact(self, inner_addresses: typing.Sequence[str]) -> None:
+        """Introduce this node to addresses; pull the table of one of them."""
+        if not inner_addresses:
+            return
+        introduction = self._announcement()
+        source = self._random.choice(inner_addresses)
         for inner_address in inner_addresses:
-            self._send(inner_address, [introduction, messages.MembersPull()])
+            batch: list[messages.Message] = [introduction]
+            if inner_address == source:
+                batch.append(messages.MembersPull())
+            self._send(inner_address, batch)
+
+    def _pull_table(self, now_ms: float) -> None:
+        """Compare tables with a member if it is time to.
+
+        Updates spread with a few rows a message, which takes long if many
+        nodes start together. The member sends its table only if it
+        differs. A starting node asks the seeds, which every node contacts
+        first, and later members of its own failure domain.
+        """
+        if now_ms < self._next_pull_ms:
+            return
+        starting = self._is_starting(now_ms)
+        self._next_pull_ms = now_ms + (
+            START_PULL_INTERVAL_MS if starting else PULL_INTERVAL_MS
+        )
+        me = self.membership.me
+        others = [
+            member for member in self.non_dead_members() if member is not me
+        ]
+        preferred = [
+            member
+            for member in others
+            if (
+                member.inner_address in self._seeds
+                if starting
+                else member.failure_domain == me.failure_domain
+            )
+        ]
+        if others:
+            member = self._random.choice(preferred or others)
+            pull = messages.MembersPull(self.membership.table_digest())
+            self._send(member.inner_address, [pull])
+
+    def _is_starting(self, now_ms: float) -> bool:
+        return now_ms - self._started_at_ms < START_MS
+
+    def _greet_new_members(self) -> None:
+        """Announce this node to members that it has learned of.
+
+        Only while it is starting: later the members learn of each other
+        by the updates that spread through the fleet.
+        """
+        if not self._is_starting(self._now_ms()):
+            return
+        announcement = self._announcement()
+        for member in self.non_dead_members():
+            if member.node not in self._greeted:
+                self._greeted.add(member.node)
+                self._send(member.inner_address, [announcement])
+
+    def contact_unknown(self, inner_addresses: typing.Iterable[str]) -> None:
+        """Contact the addresses that belong to no known member.
+
+        A few are contacted at a time: after the first reply, which holds
+        the replying member's table, most of the others are known.
+        """
+        self._contacts = list(inner_addresses)
+        self._random.shuffle(self._contacts)
+
+    def _contact_next(self, now_ms: float) -> None:
+        """Contact the next unknown addresses if it is time to."""
+        if not self._contacts or now_ms < self._next_contact_ms:
+            return
+        self._next_contact_ms = now_ms + CONTACT_INTERVAL_MS
+        known = {
+            member.inner_address for member in self.membership.all_members()
+        }
+        unknown = [name for name in self._contacts if name not in known]
+        self._contacts = unknown[CONTACTS_PER_ROUND:]
+        self.contact(unknown[:CONTACTS_PER_ROUND])
 
     def leave(self) -> None:
         """Announce to every member that this node is leaving."""
@@ -112,7 +200,12 @@
 
     def announce(self) -> None:
         """Send this node's current member update to every member."""
-        self.broadcast(messages.Probe(0, (self.membership.me,)))
+        self.broadcast(self._announcement())
+
+    def _announcement(self) -> messages.Probe:
+        return messages.Probe(
+            membership.ANNOUNCEMENT_SEQUENCE, (self.membership.me,)
+        )
 
     def broadcast(self, message: messages.Message) -> None:
         """Send a message to every other member not known to be dead."""
@@ -192,6 +285,8 @@
         count.received += len(data)
         for message in received.messages:
             self._dispatch(received.header, message)
+        if self.membership.changed:
+            self._greet_new_members()
         self._report_changes()
 
     def _dispatch(
@@ -213,8 +308,9 @@
                         now_ms, header.sender, header.inner_address, message
                     )
                 )
-            case messages.MembersPull():
-                self._send_table(header.inner_address)
+            case messages.MembersPull(digest):
+                if digest != self.membership.table_digest():
+                    self._send_table(header.inner_address)
                 self._send(header.inner_address, [self._handler.revisions()])
             case messages.Revisions():
                 self._handler.on_revisions(header.inner_address, message)
@@ -223,7 +319,7 @@
             case messages.UpstreamReports():
                 self._handler.on_upstream_reports(message)
             case messages.MembersPush():
-                self.membership.merge(now_ms, message.updates)
+                self.membership.merge(now_ms, message.updates, spread=False)
             case _:
                 self.rejected_count += 1
 
--- a/packages/tier/src/godwitflow/tier/self_registration.py
+++ b/packages/tier/src/godwitflow/tier/self_registration.py
@@ -85,4 +85,4 @@
             and entry.name != self._settings.node
             and isinstance(entry.spec.get("inner"), str)
         ]
-        self._peers.contact(inner_addresses)
+        self._peers.contact_unknown(inner_addresses)
--- a/packages/wire/src/godwitflow/wire/messages.py
+++ b/packages/wire/src/godwitflow/wire/messages.py
@@ -250,7 +250,12 @@
 
 
 class MembersPull(msgspec.Struct, frozen=True, array_like=True, tag=16):
-    """A new member requests the whole member table."""
+    """Requests the member table unless it has this digest.
+
+    The digest of an empty or unknown table is 0.
+    """
+
+    digest: int = 0
 
 
 class MembersPush(msgspec.Struct, frozen=True, array_like=True, tag=17):
