Make the lab's runs repeat and its dispatcher survive a crash report

Change: running calls are kept in the order of their start; on_crash has a default that does nothing.

Tests fail before (both orders; AttributeError).

--- a/packages/daemon/src/godwitflow/daemon/dispatch.py
+++ b/packages/daemon/src/godwitflow/daemon/dispatch.py
@@ -73,6 +73,9 @@
         self.metrics = metrics
         self.tracer = tracer
         self.suspects = crash_suspects.CrashSuspects()
+        self.on_crash: typing.Callable[[messages.Suspicions], None] = (
+            _ignore_suspicions
+        )
         self.set_dispatchers: dict[
             SetKey, dispatcher.ReplicaSetDispatcher
         ] = {}
@@ -263,9 +266,6 @@
         for entry in entries:
             self._notify_crash(entry.fingerprint)
 
-    on_crash: typing.Callable[[messages.Suspicions], None]
-    """Called after a crash with its suspect requests, to broadcast them."""
-
     def _reply(self, key: SetKey, action: jobs.Reply) -> None:
         job = action.job
         self._set_by_piece.pop((job.front_node, job.piece_id), None)
@@ -402,3 +402,7 @@
                 name = "upstream.call"
                 spans.append(self.tracer.start(name, parent.traceparent))
         return spans
+
+
+def _ignore_suspicions(suspicions: messages.Suspicions) -> None:
+    """Default ``on_crash``; a node replaces it to inform its peers."""
--- a/packages/lab/src/godwitflow/lab/model_upstream.py
+++ b/packages/lab/src/godwitflow/lab/model_upstream.py
@@ -69,7 +69,7 @@
         self.slot_ms_by_query: dict[str, float] = collections.defaultdict(
             float
         )
-        self._running: set[UpstreamCall] = set()
+        self._running: dict[UpstreamCall, None] = {}  # in order of start
         self._queue: collections.deque[UpstreamCall] = collections.deque()
 
     @property
@@ -113,7 +113,7 @@
         self.busy += 1
         call.running = True
         call.started_at_ms = self.clock.now_ms
-        self._running.add(call)
+        self._running[call] = None
         duration_ms = self.service_ms * self.random.lognormvariate(
             -SERVICE_TIME_SIGMA * SERVICE_TIME_SIGMA / 2, SERVICE_TIME_SIGMA
         )
@@ -126,7 +126,7 @@
 
     def _free_slot(self, call: UpstreamCall) -> None:
         self.busy -= 1
-        self._running.discard(call)
+        self._running.pop(call, None)
         self.slot_ms += self.clock.now_ms - call.started_at_ms
 
     def _finish(self, call: UpstreamCall) -> None:
