Compare the author of the head, not a name with itself

The check of two concurrent applies held ben against ben; it now reads the stored head. Besides: domain_of stands with the member queries, and two docstrings say what a newcomer asked.

--- a/packages/store/tests/test_config_store.py
+++ b/packages/store/tests/test_config_store.py
@@ -85,7 +85,8 @@
         self.store.before_head = other_apply
         failure = self.failureResultOf(self.start(files(2), "ana"))
         self.assertEqual(("10.yaml",), failure.value.conflicting_files)
-        self.assertEqual((2, "ben"), (self.head().generation, "ben"))
+        head = self.head()
+        self.assertEqual((2, "ben"), (head.generation, head.author))
 
     def test_lost_response_of_an_applied_change(self):
         self.store.fault = "lost after"
--- a/packages/tier/src/godwitflow/tier/peer_protocol.py
+++ b/packages/tier/src/godwitflow/tier/peer_protocol.py
@@ -159,10 +159,11 @@
         return now_ms - self._started_at_ms < START_MS
 
     def _greet_new_members(self) -> None:
-        """Announce this node to members that it has learned of.
+        """Announce this node to the members that it did not know before.
 
-        Only while it is starting: later the members learn of each other
-        by the updates that spread through the fleet.
+        Only a starting node does so. It introduced itself to the members
+        that it knew when it started or became ready, and others that start
+        at the same time may not have been among them.
         """
         if not self._is_starting(self._now_ms()):
             return
@@ -253,10 +254,6 @@
                 "datagram_lost", peer=inner_address, error=str(error)
             )
 
-    def domain_of(self, inner_address: str) -> ids.FailureDomain | None:
-        """Return the failure domain of a member; None if it is unknown."""
-        return self._domains.get(inner_address)
-
     def _byte_count(
         self, inner_address: str, batch: typing.Sequence[messages.Message]
     ) -> byte_count.ByteCount:
@@ -362,6 +359,10 @@
 
     # Members ------------------------------------------------------------
 
+    def domain_of(self, inner_address: str) -> ids.FailureDomain | None:
+        """Return the failure domain of a member; None if it is unknown."""
+        return self._domains.get(inner_address)
+
     def ready(self) -> list[messages.MemberUpdate]:
         """Return the members that callers may use, this node included."""
         return address_choice.ready_members(self.membership.live_members())
--- a/packages/wire/src/godwitflow/wire/messages.py
+++ b/packages/wire/src/godwitflow/wire/messages.py
@@ -250,9 +250,9 @@
 
 
 class MembersPull(msgspec.Struct, frozen=True, array_like=True, tag=16):
-    """Requests the member table unless it has this digest.
+    """Requests the member table, unless its digest equals ``digest``.
 
-    The digest of an empty or unknown table is 0.
+    A new member, which has no table to compare, sends 0.
     """
 
     digest: int = 0
