--- a/packages/policy/src/godwitflow/policy/membership.py
+++ b/packages/policy/src/godwitflow/policy/membership.py
@@ -325,7 +325,7 @@
         """Merge updates into the table; the higher incarnation wins.
 
         At equal incarnations the higher state wins. Without ``spread``
-        this node passes only members that leave or are gone on, as other
+        this node passes on only members that are leaving or gone, as other
         members get the rows from the same source.
         """
         for update in updates:
--- a/packages/policy/src/godwitflow/policy/replica_choice.py
+++ b/packages/policy/src/godwitflow/policy/replica_choice.py
@@ -194,8 +194,10 @@
         """Return whether a call is expected to be answered as usual.
 
         ``slots`` is the number of calls that the upstream runs at the same
-        time. A call that has taken ``STEADY_CALL_MEDIANS`` times the
-        median may be the first one of a pause or an outage.
+        time. This node takes at most ``STEADY_SLOTS_SHARE`` of them while
+        there are other replicas, but always ``STEADY_MIN_CALLS``. A call
+        that has taken ``STEADY_CALL_MEDIANS`` times the median may be the
+        first one of a pause or an outage.
         """
         self._decay(now_ms)
         if self.degraded or now_ms < self.cold_until_ms:
