Log and count what upstreams state as their rate limit

What callers saw: nothing. Change: the header is read, and the limit known, changed, ended or unreadable is logged with its source and age; calls to limited upstreams are counted by kind (first, retry, hedge, trial), in a line a second and in metrics; a gauge shows each limit. No decision uses it yet. Evidence: test_limit_watch, test_rate_limits; suites of policy, tier and platform pass.

--- a/packages/tier/src/godwitflow/tier/dispatcher.py
+++ b/packages/tier/src/godwitflow/tier/dispatcher.py
@@ -23,6 +23,7 @@
 from godwitflow.policy import retry_budget
 from godwitflow.policy import routing
 from godwitflow.tier import headers
+from godwitflow.tier import limit_watch as limit_watching
 from godwitflow.tier import log as logs
 from godwitflow.tier import metrics as metrics_module
 from godwitflow.tier import pool
@@ -69,8 +70,10 @@
         log: logs.Log,
         metrics: metrics_module.Metrics,
         seed: int,
+        limit_watch: limit_watching.LimitWatch,
     ) -> None:
         self.log = log
+        self.limit_watch = limit_watch
         self.metrics = metrics
         self.reactor = reactor
         self.now_ms = now_ms
@@ -162,6 +165,7 @@
         del self._upstreams[name]
         service = self.service(upstream.registration.service)
         service.upstreams.remove(upstream)
+        self.limit_watch.forget(upstream)
         upstream.pool.max_connections = 0
         upstream.pool.close_idle()
 
@@ -330,6 +334,7 @@
         """
         now_ms = self.now_ms()
         needed_trial = upstream.health.needs_trial(now_ms)
+        self._record_limit(upstream, elapsed_ms, outcome, rejected, now_ms)
         match outcome:
             case upstreams.Replied(response) if rejected:
                 self._record_rejection(upstream, response, now_ms)
@@ -349,6 +354,30 @@
                 elapsed_ms=round(elapsed_ms, 1),
             )
 
+    def _record_limit(
+        self,
+        upstream: services.Upstream,
+        elapsed_ms: float,
+        outcome: upstreams.Outcome,
+        rejected: bool,
+        now_ms: float,
+    ) -> None:
+        """Learn the upstream's rate limit from its response.
+
+        A 421 (Misdirected Request) is the response of another upstream.
+        """
+        match outcome:
+            case upstreams.Replied(response) if (
+                response.status != messages.MISDIRECTED
+            ):
+                self.limit_watch.on_response(
+                    upstream,
+                    response,
+                    now_ms - elapsed_ms,
+                    now_ms,
+                    rejected or response.status >= 500,
+                )
+
     def _record_rejection(
         self,
         upstream: services.Upstream,
--- a/packages/tier/src/godwitflow/tier/headers.py
+++ b/packages/tier/src/godwitflow/tier/headers.py
@@ -17,6 +17,8 @@
     a request is for; any other rejects it. ``not_executed`` marks a
     rejection. ``part_signatures`` lists the signatures of the shards in
     a merged response, ``missing_parts`` counts the shards left out.
+    ``rate_limit`` states how many calls a second an upstream takes from
+    all nodes together.
     """
 
     request_id: bytes
@@ -26,6 +28,7 @@
     not_executed: bytes
     part_signatures: bytes
     missing_parts: bytes
+    rate_limit: bytes
     request_id_out: bytes
     deadline_out: bytes
     expect_upstream_out: bytes
--- a/packages/tier/src/godwitflow/tier/node.py
+++ b/packages/tier/src/godwitflow/tier/node.py
@@ -25,6 +25,7 @@
 from godwitflow.tier import front
 from godwitflow.tier import headers
 from godwitflow.tier import health_exchange
+from godwitflow.tier import limit_watch
 from godwitflow.tier import log as logs
 from godwitflow.tier import metrics
 from godwitflow.tier import peer_protocol
@@ -79,6 +80,9 @@
         self.metrics = metrics.Metrics()
         self.traffic = traffic.Traffic(settings.failure_domain)
         seed = random.getrandbits(32)
+        self.limit_watch = limit_watch.LimitWatch(
+            settings.node, header_names.rate_limit, log, self.metrics
+        )
         self.dispatcher = dispatching.Dispatcher(
             reactor,
             now_ms,
@@ -89,6 +93,7 @@
             log,
             self.metrics,
             seed,
+            self.limit_watch,
         )
         self.dispatcher.on_crashes = self._broadcast_crashes
         self.router = front.RequestRouter(self.dispatcher, log, seed)
@@ -188,6 +193,7 @@
         self._start_loop(CHECK_INTERVAL_S, self._check_timeouts)
         self._start_loop(CHECK_INTERVAL_S, self._update_load)
         self._start_loop(TRAFFIC_LOG_INTERVAL_S, self._log_traffic)
+        self._start_loop(CHECK_INTERVAL_S, self._summarize_limited_calls)
         self.dispatcher.apply_recent_start(True)
         self._reactor.callLater(
             RECENT_START_S, self.dispatcher.apply_recent_start, False
@@ -334,6 +340,7 @@
         lines = [
             *self.metrics.lines(),
             *self.traffic.lines(),
+            *self.limit_watch.lines(),
             metrics.gauge_line("caller_connections", connections),
             metrics.gauge_line("members", len(members)),
             metrics.gauge_line("log_lines_left_out", self._log.dropped_total),
@@ -359,6 +366,9 @@
         """Log the bytes carried since the start, for capacity planning."""
         self._log.event("traffic", bytes_carried=self.traffic.summary())
 
+    def _summarize_limited_calls(self) -> None:
+        self.limit_watch.tick(self._now_ms())
+
     def _check_timeouts(self) -> None:
         for listener in (
             self._caller_listener,
--- a/packages/tier/src/godwitflow/tier/services.py
+++ b/packages/tier/src/godwitflow/tier/services.py
@@ -5,6 +5,7 @@
 import typing
 
 from godwitflow.model import ids
+from godwitflow.policy import rate_limits
 from godwitflow.policy import registrations
 from godwitflow.policy import replica_choice
 from godwitflow.policy import retry_budget
@@ -28,6 +29,9 @@
     health: replica_choice.ReplicaHealth
     other_domain: bool
     misdirected: bool = False
+    limit: rate_limits.KnownLimit = dataclasses.field(
+        default_factory=rate_limits.KnownLimit
+    )
     call_starts: dict[int, float] = dataclasses.field(default_factory=dict)
 
     @property
--- a/packages/tier/src/godwitflow/tier/subrequest.py
+++ b/packages/tier/src/godwitflow/tier/subrequest.py
@@ -15,6 +15,7 @@
 from godwitflow.model import ids
 from godwitflow.policy import routing
 from godwitflow.tier import dispatcher as dispatching
+from godwitflow.tier import limit_watch
 from godwitflow.tier import services
 
 DETACHED_CALL_TIMEOUT_MS = 600.0
@@ -123,6 +124,7 @@
         self._error_response: messages.Response | None = None
         self._reason = NoResponseReason.NO_UPSTREAM
         self._detached = False
+        self._call_kind = limit_watch.CallKind.FIRST
 
     @property
     def possibly_executed(self) -> bool:
@@ -184,6 +186,9 @@
         if in_flight_call.connection is None:
             self._undo_send(key, upstream)
             return False
+        self.dispatcher.limit_watch.on_call(
+            upstream, limit_watch.CallKind.TRIAL if trial else self._call_kind
+        )
         if trial and self.outbound.idempotent:
             self.hedge()  # a failing trial call must not delay the request
         return True
@@ -243,6 +248,7 @@
         self.dispatcher.record_repeated_call(
             self.outbound, self.service.name, "late"
         )
+        self._call_kind = limit_watch.CallKind.HEDGE
         return self._try_send(eligible)
 
     def _may_resend(self) -> bool:
@@ -357,6 +363,7 @@
             self.dispatcher.record_repeated_call(
                 self.outbound, self.service.name, self._reason.value
             )
+            self._call_kind = limit_watch.CallKind.RETRY
             self._send_or_enqueue()
 
     def _finish_if_idle(self) -> None:
--- a/packages/tier/tests/simulation.py
+++ b/packages/tier/tests/simulation.py
@@ -17,6 +17,7 @@
 from godwitflow.tier import dispatcher
 from godwitflow.tier import front
 from godwitflow.tier import headers
+from godwitflow.tier import limit_watch
 from godwitflow.tier import metrics
 from godwitflow.tier import traffic
 
@@ -28,6 +29,7 @@
     not_executed=b"x-not-run",
     part_signatures=b"x-parts",
     missing_parts=b"x-missing",
+    rate_limit=b"x-rate",
     request_id_out=b"X-Id",
     deadline_out=b"X-Left",
     expect_upstream_out=b"X-Expect",
@@ -60,7 +62,9 @@
     """An upstream that responds after ``latency_ms``.
 
     ``executions`` holds the requests that it executed; ``rejected`` and
-    ``cancelled`` count requests.
+    ``cancelled`` count requests. ``arrived_at_ms`` holds the times at
+    which requests arrived. ``rate_limits`` are the values of the header
+    that states a rate limit.
     """
 
     name: str
@@ -72,6 +76,9 @@
     executions: list = dataclasses.field(default_factory=list)
     rejected: int = 0
     cancelled: int = 0
+    arrived_at_ms: list = dataclasses.field(default_factory=list)
+    rate_limits: tuple = ()
+    started_at_ms: int = 1
 
     def registration(self):
         return registrations.Registration(
@@ -83,7 +90,7 @@
             registrations.UpstreamState.READY,
             0.0,
             1,
-            1,
+            self.started_at_ms,
         )
 
 
@@ -111,6 +118,7 @@
 
     def _on_request(self, data):
         upstream = self.upstream
+        upstream.arrived_at_ms.append(self.reactor.seconds() * 1_000.0)
         request = parse_request(data)
         wait_s = upstream.latency_ms / 1_000.0
         match upstream.mode:
@@ -154,8 +162,9 @@
                 self._reply(wait_s, 200, headers, upstream.body)
 
     def _reply(self, wait_s, status, headers, body):
+        limits = [(b"X-Rate", value) for value in self.upstream.rate_limits]
         data = messages.serialize_response(
-            messages.Response(status, b"", headers, body), False
+            messages.Response(status, b"", headers + limits, body), False
         )
         self.reactor.callLater(wait_s + LINK_DELAY_S, self._deliver, data)
 
@@ -244,6 +253,10 @@
         self.reactor.advance(1_000.0)
         self.log = RecordingLog()
         self.traffic = traffic.Traffic(ids.FailureDomain("d1"))
+        self.metrics = metrics.Metrics()
+        self.limit_watch = limit_watch.LimitWatch(
+            ids.NodeId("n1"), HEADER_NAMES.rate_limit, self.log, self.metrics
+        )
         self.dispatcher = dispatcher.Dispatcher(
             self.reactor,
             self.reactor.now_ms,
@@ -252,8 +265,9 @@
             self.traffic,
             retry_budget.RetryLimits(0.2, 58.0, 10_000.0),
             self.log,
-            metrics.Metrics(),
+            self.metrics,
             seed=1,
+            limit_watch=self.limit_watch,
         )
         self.router = front.RequestRouter(self.dispatcher, self.log, 1)
         self.router.registrations_known = True
