--- a/packages/tier/tests/simulation.py
+++ b/packages/tier/tests/simulation.py
@@ -3,6 +3,7 @@
 import dataclasses
 import enum
 import itertools
+import zlib
 
 from twisted.internet import error
 from twisted.internet import task
@@ -196,6 +197,7 @@
     def __init__(self):
         super().__init__()
         self.upstreams = {}
+        self.services = {}
 
     def now_ms(self):
         return self.seconds() * 1_000.0
@@ -246,16 +248,23 @@
 
     ``shards`` services ``s0``, ``s1`` and so on serve the route ``/all/``;
     the service ``one`` serves ``/one/`` and, not idempotent, ``/once/``.
+    With ``reactor``, the simulated node shares the clock and the upstreams
+    of other nodes.
     """
 
-    def __init__(self, shards=0, replicas=3, **settings):
-        self.reactor = SimulatedReactor()
-        self.reactor.advance(1_000.0)
+    def __init__(
+        self, shards=0, replicas=3, node="n1", reactor=None, **settings
+    ):
+        self.reactor = reactor
+        if reactor is None:
+            self.reactor = SimulatedReactor()
+            self.reactor.advance(1_000.0)
+        self.node = ids.NodeId(node)
         self.log = RecordingLog()
         self.traffic = traffic.Traffic(ids.FailureDomain("d1"))
         self.metrics = metrics.Metrics()
         self.limit_watch = limit_watch.LimitWatch(
-            ids.NodeId("n1"), HEADER_NAMES.rate_limit, self.log, self.metrics
+            self.node, HEADER_NAMES.rate_limit, self.log, self.metrics
         )
         self.dispatcher = dispatcher.Dispatcher(
             self.reactor,
@@ -266,7 +275,7 @@
             retry_budget.RetryLimits(0.2, 58.0, 10_000.0),
             self.log,
             self.metrics,
-            seed=1,
+            seed=zlib.crc32(node.encode()),
             limit_watch=self.limit_watch,
         )
         self.router = front.RequestRouter(self.dispatcher, self.log, 1)
@@ -290,6 +299,10 @@
         self.apply_configuration()
 
     def add_service(self, service, replicas):
+        shared = self.reactor.services.get(service)
+        if shared is not None:
+            self.services[service] = shared
+            return
         upstreams = []
         for number in range(replicas):
             index = len(self.reactor.upstreams)
@@ -299,6 +312,7 @@
             self.reactor.upstreams[address] = upstream
             upstreams.append(upstream)
         self.services[service] = upstreams
+        self.reactor.services[service] = upstreams
 
     def apply_configuration(self):
         services = {
@@ -333,7 +347,10 @@
         """Send a request; return its caller and its exchange."""
         headers = [
             (b"Host", HOST.encode()),
-            (b"X-Id", b"%d" % next(self._request_ids)),
+            (
+                b"X-Id",
+                b"%b-%d" % (self.node.encode(), next(self._request_ids)),
+            ),
         ]
         if deadline_ms is not None:
             headers.append((b"X-Left", b"%d" % deadline_ms))
