--- a/packages/tier/src/godwitflow/tier/dispatcher.py
+++ b/packages/tier/src/godwitflow/tier/dispatcher.py
@@ -26,6 +26,7 @@
 from godwitflow.tier import limit_watch as limit_watching
 from godwitflow.tier import log as logs
 from godwitflow.tier import metrics as metrics_module
+from godwitflow.tier import outbound_request
 from godwitflow.tier import pool
 from godwitflow.tier import services
 from godwitflow.tier import traffic as traffic_module
@@ -36,9 +37,6 @@
 HEDGE_DELAY_QUANTILE = 0.88
 MIN_MEDIAN_MS = 0.1  # latencies are divided by the median
 
-if typing.TYPE_CHECKING:
-    from godwitflow.tier import subrequest
-
 
 @dataclasses.dataclass(slots=True)
 class LatencyEstimate:
@@ -280,7 +278,7 @@
 
     def record_crashes(
         self,
-        outbound: "subrequest.OutboundRequest",
+        outbound: outbound_request.OutboundRequest,
         fingerprint: ids.Fingerprint,
         crashes: int,
     ) -> None:
@@ -300,7 +298,7 @@
 
     def record_repeated_call(
         self,
-        outbound: "subrequest.OutboundRequest",
+        outbound: outbound_request.OutboundRequest,
         service: ids.ServiceName,
         reason: str,
     ) -> None:
--- a/packages/tier/src/godwitflow/tier/front.py
+++ b/packages/tier/src/godwitflow/tier/front.py
@@ -13,8 +13,8 @@
 from godwitflow.tier import dispatcher as dispatching
 from godwitflow.tier import gather_handler
 from godwitflow.tier import log as logs
+from godwitflow.tier import outbound_request
 from godwitflow.tier import single_handler
-from godwitflow.tier import subrequest
 
 NOT_READY_RETRY_S = 0.3
 BLOCKED_RETRY_S = 30.0
@@ -135,7 +135,9 @@
         return self.dispatcher.crash_history.is_blocked(fingerprint, now_ms)
 
     def _refuse_blocked(
-        self, exchange: callers.Exchange, outbound: subrequest.OutboundRequest
+        self,
+        exchange: callers.Exchange,
+        outbound: outbound_request.OutboundRequest,
     ) -> None:
         self.log.limited_event(
             "refused",
@@ -153,7 +155,7 @@
     def _start_single(
         self,
         exchange: callers.Exchange,
-        outbound: subrequest.OutboundRequest,
+        outbound: outbound_request.OutboundRequest,
         service: ids.ServiceName,
     ) -> None:
         handler = single_handler.SingleHandler(
@@ -163,7 +165,7 @@
 
     def _outbound_request(
         self, request: messages.Request, route: routing.Route, version: int
-    ) -> subrequest.OutboundRequest:
+    ) -> outbound_request.OutboundRequest:
         names = self.dispatcher.header_names
         deadline_ms = route.timeout_ms
         value = messages.find_header(request.headers, names.deadline)
@@ -182,7 +184,7 @@
         if request.body is not None:
             tail = b"Content-Length: %d\r\n\r\n" % len(request.body)
             tail += request.body
-        return subrequest.OutboundRequest(
+        return outbound_request.OutboundRequest(
             messages.find_header(request.headers, names.request_id),
             request.method,
             data[:-2],
--- /dev/null
+++ b/packages/tier/src/godwitflow/tier/outbound_request.py
@@ -0,0 +1,36 @@
+"""A caller's request as it is sent to upstreams."""
+
+import dataclasses
+
+from godwitflow.policy import routing
+
+
+@dataclasses.dataclass(slots=True)
+class OutboundRequest:
+    """A caller's request, serialized for sending to upstreams.
+
+    ``head`` and ``tail`` are the bytes before and after the headers that
+    differ from call to call. ``configuration_version`` is the version of
+    the configuration that ``route`` belongs to.
+    """
+
+    request_id: bytes | None
+    method: bytes
+    head: bytes
+    tail: bytes
+    route: routing.Route
+    received_at_ms: float
+    deadline_at_ms: float
+    configuration_version: int
+
+    @property
+    def request_id_text(self) -> str:
+        """The request id for logs; empty if there is none."""
+        if self.request_id is None:
+            return ""
+        return self.request_id.decode("latin-1")
+
+    @property
+    def idempotent(self) -> bool:
+        """Whether the request may be executed more than once."""
+        return self.route.retry_policy is routing.RetryPolicy.IDEMPOTENT
--- a/packages/tier/src/godwitflow/tier/request_handler.py
+++ b/packages/tier/src/godwitflow/tier/request_handler.py
@@ -8,7 +8,7 @@
 from godwitflow.policy import request_timing
 from godwitflow.tier import dispatcher as dispatching
 from godwitflow.tier import log as logs
-from godwitflow.tier import subrequest
+from godwitflow.tier import outbound_request
 
 MS_PER_S = 1_000.0
 RETRY_AFTER_S = 0.15
@@ -33,7 +33,7 @@
         dispatcher: dispatching.Dispatcher,
         log: logs.Log,
         exchange: callers.Exchange,
-        outbound: subrequest.OutboundRequest,
+        outbound: outbound_request.OutboundRequest,
     ) -> None:
         self.dispatcher = dispatcher
         self.log = log
--- a/packages/tier/src/godwitflow/tier/subrequest.py
+++ b/packages/tier/src/godwitflow/tier/subrequest.py
@@ -13,46 +13,15 @@
 from godwitflow.http1 import messages
 from godwitflow.http1 import upstreams
 from godwitflow.model import ids
-from godwitflow.policy import routing
 from godwitflow.tier import dispatcher as dispatching
 from godwitflow.tier import limit_watch
+from godwitflow.tier import outbound_request
 from godwitflow.tier import services
 
 DETACHED_CALL_TIMEOUT_MS = 600.0
 MS_PER_S = 1_000.0
 
 
-@dataclasses.dataclass(slots=True)
-class OutboundRequest:
-    """A caller's request, serialized for sending to upstreams.
-
-    ``head`` and ``tail`` are the bytes before and after the headers that
-    differ from call to call. ``configuration_version`` is the version of
-    the configuration that ``route`` belongs to.
-    """
-
-    request_id: bytes | None
-    method: bytes
-    head: bytes
-    tail: bytes
-    route: routing.Route
-    received_at_ms: float
-    deadline_at_ms: float
-    configuration_version: int
-
-    @property
-    def request_id_text(self) -> str:
-        """The request id for logs; empty if there is none."""
-        if self.request_id is None:
-            return ""
-        return self.request_id.decode("latin-1")
-
-    @property
-    def idempotent(self) -> bool:
-        """Whether the request may be executed more than once."""
-        return self.route.retry_policy is routing.RetryPolicy.IDEMPOTENT
-
-
 class NoResponseReason(enum.Enum):
     """Why a subrequest has no response."""
 
@@ -101,7 +70,7 @@
     def __init__(
         self,
         dispatcher: dispatching.Dispatcher,
-        outbound: OutboundRequest,
+        outbound: outbound_request.OutboundRequest,
         service: ids.ServiceName,
         is_acceptable: typing.Callable[[messages.Response], bool],
         on_result: typing.Callable[["Subrequest", Result], None],
