Keep a fleet within the rate limits that upstreams state

A limited upstream got up to three times its limit, first calls alone about twice. Cause: a limit of the fleet that no node knew or counted. A share of a node would not do: at 64 nodes it is a tenth of a call a second, and buckets of one call each already exceed the bound. Change: each call to a limited upstream needs a permit. A permit is used at once or lost, so nothing is taken back from a node that stops or pauses. All calls pass one place, Subrequest._try_send. A denied call goes to a replica without a limit, or ends at once. The begin and end of a limit spread by gossip; the latest news wins.

--- a/packages/tier/src/godwitflow/tier/dispatcher.py
+++ b/packages/tier/src/godwitflow/tier/dispatcher.py
@@ -27,6 +27,7 @@
 from godwitflow.tier import log as logs
 from godwitflow.tier import metrics as metrics_module
 from godwitflow.tier import outbound_request
+from godwitflow.tier import permits
 from godwitflow.tier import pool
 from godwitflow.tier import services
 from godwitflow.tier import traffic as traffic_module
@@ -54,7 +55,8 @@
     """Selects upstreams for calls and tracks their health and latency.
 
     ``on_crashes`` is called with the fingerprint of a request that
-    crashed upstreams and the number of crashes.
+    crashed upstreams and the number of crashes. ``permits`` has to be set
+    before the first call.
     """
 
     def __init__(
@@ -83,6 +85,7 @@
         self.on_crashes: typing.Callable[[ids.Fingerprint, int], None] = (
             _ignore_crashes
         )
+        self.permits: permits.Permits
         self.call_count = 0
         self.random = random.Random(seed)
         self._failure_domain = failure_domain
@@ -232,6 +235,16 @@
             if not upstream.misdirected and upstream.name not in tried
         ]
 
+    def find_upstream(
+        self, name: ids.UpstreamId, started_at_ms: int
+    ) -> services.Upstream | None:
+        """Return the instance of an upstream; None if it is not known."""
+        upstream = self._upstreams.get(name)
+        if upstream is None:
+            return None
+        known_ms = upstream.registration.started_at_ms
+        return upstream if known_ms == started_at_ms else None
+
     def choose_upstream(
         self, eligible: list[services.Upstream], median_ms: float
     ) -> services.Upstream | None:
--- a/packages/tier/src/godwitflow/tier/gather_handler.py
+++ b/packages/tier/src/godwitflow/tier/gather_handler.py
@@ -11,6 +11,7 @@
 from godwitflow.model import ids
 from godwitflow.policy import request_timing
 from godwitflow.policy import routing
+from godwitflow.tier import permits
 from godwitflow.tier import request_handler
 from godwitflow.tier import subrequest as subrequests
 
@@ -56,9 +57,17 @@
             if self.dispatcher.service(shard).unavailable(now_ms)
         ]
         self._unavailable_count = len(unavailable)
-        if self._gather.is_sufficient(len(shards) - len(unavailable)):
+        urgent = self.outbound.route.priority == permits.URGENT_RANK
+        callable_count = sum(
+            self.dispatcher.service(shard).callable(urgent, now_ms)
+            for shard in shards
+        )
+        if self._gather.is_sufficient(callable_count):
             return False
-        text = f"{len(unavailable)} of {len(shards)} shards are down"
+        text = (
+            f"{len(shards) - callable_count} of {len(shards)} shards are "
+            "down or take no more calls"
+        )
         self._refuse(503, text, UNAVAILABLE_RETRY_AFTER_S)
         return True
 
--- a/packages/tier/src/godwitflow/tier/limit_watch.py
+++ b/packages/tier/src/godwitflow/tier/limit_watch.py
@@ -17,6 +17,9 @@
 
 SUMMARY_INTERVAL_MS = 1_000.0
 UNREADABLE_INTERVAL_MS = 10_000.0
+ROUND_MS = 400.0
+REPEAT_REPORT_MS = 2_000.0
+MAX_REPORTS_PER_ROUND = 16
 
 
 class CallKind(enum.Enum):
@@ -46,6 +49,9 @@
         self._calls: dict[ids.UpstreamId, collections.Counter[str]] = {}
         self._next_summary_ms = 0.0
         self._next_unreadable_ms = 0.0
+        self._next_round_ms = 0.0
+        self._to_report: dict[ids.UpstreamId, services.Upstream] = {}
+        self._reported_at_ms: dict[ids.UpstreamId, float] = {}
 
     # News ---------------------------------------------------------------
 
@@ -77,8 +83,11 @@
         news = rate_limits.news_of_response(
             statement, call_started_at_ms, now_ms, self.node
         )
-        if news is not None:
-            self.apply(upstream, news, now_ms)
+        if news is None:
+            return
+        self.apply(upstream, news, now_ms)
+        if upstream.limited:
+            self._to_report[upstream.name] = upstream
 
     def _on_unreadable(
         self, upstream: services.Upstream, text: str, now_ms: float
@@ -108,6 +117,8 @@
             self._limited.pop(upstream.name, None)
         else:
             self._limited[upstream.name] = upstream
+        if previous is None or news.calls_per_s is None:
+            self._to_report[upstream.name] = upstream
         self._metrics.count("limit_changes")
         self._log.limited_event(
             "limit_ended" if news.calls_per_s is None else "limit_known",
@@ -123,9 +134,51 @@
         """Drop an upstream that is gone or was started anew."""
         if self._limited.get(upstream.name) is upstream:
             del self._limited[upstream.name]
+        self._to_report.pop(upstream.name, None)
+        self._reported_at_ms.pop(upstream.name, None)
+
+    def end_round(
+        self, now_ms: float
+    ) -> list[tuple[services.Upstream, rate_limits.LimitNews]]:
+        """Return the news that peers should know.
+
+        The begin and the end of a limit are passed on by each node that
+        hears of it, so that they reach all nodes within a few rounds. An
+        unchanged limit is repeated from time to time by the nodes that
+        still hear it from the upstream.
+        """
+        if now_ms < self._next_round_ms:
+            return []
+        self._next_round_ms = now_ms + ROUND_MS
+        reports: list[tuple[services.Upstream, rate_limits.LimitNews]] = []
+        while self._to_report and len(reports) < MAX_REPORTS_PER_ROUND:
+            name, upstream = self._to_report.popitem()
+            news = upstream.limit.news
+            if news is None or not self._is_due(name, news, now_ms):
+                continue
+            if news.calls_per_s is None:
+                self._reported_at_ms.pop(name, None)
+            else:
+                self._reported_at_ms[name] = now_ms
+            reports.append((upstream, news))
+        return reports
+
+    def _is_due(
+        self, name: ids.UpstreamId, news: rate_limits.LimitNews, now_ms: float
+    ) -> bool:
+        reported_at_ms = self._reported_at_ms.get(name)
+        if reported_at_ms is None or news.calls_per_s is None:
+            return True
+        own = news.source == self.node
+        return own and now_ms - reported_at_ms >= REPEAT_REPORT_MS
 
     # Calls --------------------------------------------------------------
 
+    def on_turned_away(self, upstream: services.Upstream, reason: str) -> None:
+        """Count a call that was not made for lack of a permit."""
+        self._count(upstream, reason)
+        self._metrics.count("calls_without_permit", reason=reason)
+
     def on_call(self, upstream: services.Upstream, kind: CallKind) -> None:
         """Count a call, if the upstream is limited."""
         if upstream.limit.calls_per_s is None:
--- a/packages/tier/src/godwitflow/tier/node.py
+++ b/packages/tier/src/godwitflow/tier/node.py
@@ -29,6 +29,7 @@
 from godwitflow.tier import log as logs
 from godwitflow.tier import metrics
 from godwitflow.tier import peer_protocol
+from godwitflow.tier import permits
 from godwitflow.tier import replication
 from godwitflow.tier import self_registration
 from godwitflow.tier import settings as node_settings
@@ -125,6 +126,16 @@
             seed,
             self.traffic,
         )
+        self.permits = permits.Permits(
+            reactor,
+            now_ms,
+            settings.node,
+            self.peers,
+            self.dispatcher.find_upstream,
+            self.limit_watch,
+            log,
+        )
+        self.dispatcher.permits = self.permits
         self.directory = directory.Directory(
             self.peers, address_codec, settings.bounds.max_address_age_ms
         )
@@ -310,8 +321,27 @@
         """Process a peer's reports on upstreams."""
         self.health_exchange.on_upstream_reports(message)
 
+    def on_limit_reports(
+        self, sender: ids.NodeId, message: messages.LimitReports
+    ) -> None:
+        """Process a peer's reports on rate limits of upstreams."""
+        self.health_exchange.on_limit_reports(sender, message)
+
+    def on_permit_request(
+        self, sender: ids.NodeId, message: messages.PermitRequest
+    ) -> None:
+        """Process a peer's request for permits."""
+        self.permits.on_request(sender, message)
+
+    def on_permit_reply(
+        self, sender: ids.NodeId, message: messages.PermitReply
+    ) -> None:
+        """Process the answers to a request for permits."""
+        self.permits.on_reply(sender, message)
+
     def on_members_changed(self) -> None:
-        """Update the number of nodes that share caps and budgets."""
+        """Update the nodes that share caps, budgets and rate limits."""
+        self.permits.on_members_changed()
         self.dispatcher.apply_node_count(self.peers.node_count())
 
     # Requests -----------------------------------------------------------
--- a/packages/tier/src/godwitflow/tier/peer_protocol.py
+++ b/packages/tier/src/godwitflow/tier/peer_protocol.py
@@ -51,6 +51,24 @@
         """Process a peer's reports on upstreams."""
         ...
 
+    def on_limit_reports(
+        self, sender: ids.NodeId, message: messages.LimitReports
+    ) -> None:
+        """Process a peer's reports on rate limits of upstreams."""
+        ...
+
+    def on_permit_request(
+        self, sender: ids.NodeId, message: messages.PermitRequest
+    ) -> None:
+        """Process a peer's request for permits."""
+        ...
+
+    def on_permit_reply(
+        self, sender: ids.NodeId, message: messages.PermitReply
+    ) -> None:
+        """Process the answers to a request for permits."""
+        ...
+
     def revisions(self) -> messages.Revisions:
         """Return the revisions of this node's own copies."""
         ...
@@ -261,8 +279,10 @@
         match batch[0] if batch else None:
             case messages.Revisions():
                 purpose = traffic_module.Purpose.ANNOUNCEMENTS
-            case messages.UpstreamReports():
+            case messages.UpstreamReports() | messages.LimitReports():
                 purpose = traffic_module.Purpose.UPSTREAM_REPORTS
+            case messages.PermitRequest() | messages.PermitReply():
+                purpose = traffic_module.Purpose.PERMITS
         return self._traffic.count_for(purpose, self.domain_of(inner_address))
 
     # Receiving ----------------------------------------------------------
@@ -315,6 +335,12 @@
                 self._handler.on_suspicions(message)
             case messages.UpstreamReports():
                 self._handler.on_upstream_reports(message)
+            case messages.LimitReports():
+                self._handler.on_limit_reports(header.sender, message)
+            case messages.PermitRequest():
+                self._handler.on_permit_request(header.sender, message)
+            case messages.PermitReply():
+                self._handler.on_permit_reply(header.sender, message)
             case messages.MembersPush():
                 self.membership.merge(now_ms, message.updates, spread=False)
             case _:
@@ -367,6 +393,10 @@
         """Return the members that callers may use, this node included."""
         return address_choice.ready_members(self.membership.live_members())
 
+    def live_nodes(self) -> list[ids.NodeId]:
+        """Return the nodes that are alive, this one until it leaves."""
+        return [member.node for member in self.membership.live_members()]
+
     def non_dead_members(self) -> list[messages.MemberUpdate]:
         """Return the members that are not known to be dead, self included."""
         return [
--- a/packages/tier/src/godwitflow/tier/services.py
+++ b/packages/tier/src/godwitflow/tier/services.py
@@ -21,7 +21,9 @@
     ``other_domain`` is set if it is in another failure domain than this
     node. ``misdirected`` is set once it has answered 421 (Misdirected
     Request). ``call_starts`` holds the start times of calls in flight,
-    oldest first.
+    oldest first. A permit for a call was denied until
+    ``denied_until_ms``, and for an urgent call until
+    ``urgent_denied_until_ms``.
     """
 
     registration: registrations.Registration
@@ -32,6 +34,8 @@
     limit: rate_limits.KnownLimit = dataclasses.field(
         default_factory=rate_limits.KnownLimit
     )
+    denied_until_ms: float = 0.0
+    urgent_denied_until_ms: float = 0.0
     call_starts: dict[int, float] = dataclasses.field(default_factory=dict)
 
     @property
@@ -39,6 +43,29 @@
         """The upstream's id."""
         return self.registration.upstream
 
+    @property
+    def limited(self) -> bool:
+        """Whether each call needs a permit."""
+        return self.limit.calls_per_s is not None
+
+    def on_denied(self, urgent: bool, until_ms: float) -> None:
+        """Record that no permit can be had until a point in time.
+
+        What is denied to an urgent call is denied to all others.
+        """
+        if urgent:
+            self.urgent_denied_until_ms = until_ms
+        self.denied_until_ms = max(self.denied_until_ms, until_ms)
+
+    def denied(self, urgent: bool, now_ms: float) -> bool:
+        """Return whether a permit was denied and cannot be had yet."""
+        if not self.limited:
+            return False
+        until_ms = (
+            self.urgent_denied_until_ms if urgent else self.denied_until_ms
+        )
+        return now_ms < until_ms
+
     def on_call_start(self, key: int, now_ms: float) -> None:
         """Record that a call was started."""
         self.call_starts[key] = now_ms
@@ -90,6 +117,15 @@
             for upstream in self.upstreams
         )
 
+    def callable(self, urgent: bool, now_ms: float) -> bool:
+        """Return whether an upstream may be called and may answer."""
+        return not all(
+            upstream.misdirected
+            or upstream.health.unavailable(now_ms)
+            or upstream.denied(urgent, now_ms)
+            for upstream in self.upstreams
+        )
+
     def needs_trial(self, now_ms: float) -> bool:
         """Return whether every upstream has to pass a trial call first."""
         return all(
--- a/packages/tier/src/godwitflow/tier/single_handler.py
+++ b/packages/tier/src/godwitflow/tier/single_handler.py
@@ -7,6 +7,7 @@
 from godwitflow.tier import subrequest as subrequests
 
 NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
+RATE_LIMITED_RETRY_AFTER_S = 0.4
 
 
 class SingleHandler(request_handler.RequestHandler):
@@ -106,9 +107,7 @@
                     self._refuse(502, f"upstream call failed: {reason.value}")
                 else:
                     self._refuse(
-                        503,
-                        f"not run: {reason.value}",
-                        request_handler.RETRY_AFTER_S,
+                        503, f"not run: {reason.value}", _retry_after_s(reason)
                     )
 
     def _on_disconnect(self) -> None:
@@ -119,6 +118,14 @@
             self._subrequest.detach()
 
 
+def _retry_after_s(reason: subrequests.NoResponseReason) -> float:
+    match reason:
+        case subrequests.NoResponseReason.RATE_LIMITED:
+            return RATE_LIMITED_RETRY_AFTER_S
+        case _:
+            return request_handler.RETRY_AFTER_S
+
+
 def _content_length(response: messages.Response) -> messages.Headers:
     length = messages.find_header(response.headers, b"content-length")
     return [] if length is None else [(b"Content-Length", length)]
--- a/packages/tier/src/godwitflow/tier/subrequest.py
+++ b/packages/tier/src/godwitflow/tier/subrequest.py
@@ -16,6 +16,7 @@
 from godwitflow.tier import dispatcher as dispatching
 from godwitflow.tier import limit_watch
 from godwitflow.tier import outbound_request
+from godwitflow.tier import permits
 from godwitflow.tier import services
 
 DETACHED_CALL_TIMEOUT_MS = 600.0
@@ -30,6 +31,7 @@
     REJECTED = "rejected"
     NO_BUDGET = "no_budget"
     FAILED = "failed"
+    RATE_LIMITED = "rate_limited"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -90,6 +92,8 @@
         self._latency = dispatcher.latency_estimate(outbound.route)
         self._tried: set[ids.UpstreamId] = set()
         self._in_flight: dict[int, _InFlightCall] = {}
+        self._awaiting_permit = 0
+        self._permit_denied = False
         self._error_response: messages.Response | None = None
         self._reason = NoResponseReason.NO_UPSTREAM
         self._detached = False
@@ -122,7 +126,7 @@
     # Sending ------------------------------------------------------------
 
     def _send_or_enqueue(self) -> None:
-        eligible = self.dispatcher.untried_upstreams(self.service, self._tried)
+        eligible = self._eligible_upstreams()
         if not eligible:
             self._finish_if_idle()
         elif not self._try_send(eligible):
@@ -131,12 +135,71 @@
                 self.service, self.outbound.route.priority, self
             )
 
+    @property
+    def _urgent(self) -> bool:
+        return self.outbound.route.priority == permits.URGENT_RANK
+
+    def _eligible_upstreams(self) -> list[services.Upstream]:
+        """Return the untried upstreams that a call may be made to.
+
+        After a denied permit, limited upstreams are the last choice.
+        """
+        now_ms = self.dispatcher.now_ms()
+        untried = self.dispatcher.untried_upstreams(self.service, self._tried)
+        permitted = [
+            upstream
+            for upstream in untried
+            if not upstream.denied(self._urgent, now_ms)
+        ]
+        if untried and not permitted:
+            self._reason = NoResponseReason.RATE_LIMITED
+        unlimited = [item for item in permitted if not item.limited]
+        return (self._permit_denied and unlimited) or permitted
+
     def _try_send(self, eligible: list[services.Upstream]) -> bool:
+        """Send to one of the upstreams, or ask for a permit to do so.
+
+        Returns False if none of them has capacity.
+        """
         upstream = self.dispatcher.choose_upstream(
             eligible, self._latency.median.value
         )
         if upstream is None:
             return False
+        if not upstream.limited:
+            return self._send_to(upstream, self._call_kind)
+        self._awaiting_permit += 1
+        self._tried.add(upstream.name)
+        self.dispatcher.permits.request(
+            upstream,
+            self.outbound.route.priority,
+            functools.partial(self._on_permit, upstream, self._call_kind),
+        )
+        return True
+
+    def _on_permit(
+        self,
+        upstream: services.Upstream,
+        kind: limit_watch.CallKind,
+        issued: bool,
+    ) -> None:
+        self._awaiting_permit -= 1
+        self._tried.discard(upstream.name)
+        if self.result is not None:
+            return
+        self._permit_denied = self._permit_denied or not issued
+        if issued and self._send_to(upstream, kind):
+            return
+        if self._in_flight or self._awaiting_permit:
+            return
+        if self._may_resend():
+            self._send_or_enqueue()
+        else:
+            self._finish_if_idle()
+
+    def _send_to(
+        self, upstream: services.Upstream, kind: limit_watch.CallKind
+    ) -> bool:
         now_ms = self.dispatcher.now_ms()
         trial = upstream.health.needs_trial(now_ms)
         key = self.dispatcher.next_call_key()
@@ -156,7 +219,7 @@
             self._undo_send(key, upstream)
             return False
         self.dispatcher.limit_watch.on_call(
-            upstream, limit_watch.CallKind.TRIAL if trial else self._call_kind
+            upstream, limit_watch.CallKind.TRIAL if trial else kind
         )
         if trial and self.outbound.idempotent:
             self.hedge()  # a failing trial call must not delay the request
@@ -185,7 +248,7 @@
         """Send a queued request; False if there is still no capacity."""
         if self.result is not None or not self.queued:
             return True
-        eligible = self.dispatcher.untried_upstreams(self.service, self._tried)
+        eligible = self._eligible_upstreams()
         if eligible and not self._try_send(eligible):
             return False
         self.queued = False
@@ -207,9 +270,7 @@
             return False
         eligible = [
             upstream
-            for upstream in self.dispatcher.untried_upstreams(
-                self.service, self._tried
-            )
+            for upstream in self._eligible_upstreams()
             if upstream.pool.has_capacity
         ]
         if not eligible or not self._try_acquire_budget():
@@ -221,7 +282,8 @@
         return self._try_send(eligible)
 
     def _may_resend(self) -> bool:
-        if self.sent_count >= self.outbound.route.attempts:
+        calls = self.sent_count + self._awaiting_permit
+        if calls >= self.outbound.route.attempts:
             return False
         return self.outbound.idempotent or not self.may_have_run
 
@@ -321,7 +383,7 @@
         """
         if not sent:
             self.sent_count -= 1
-        if self._in_flight or self.queued:
+        if self._in_flight or self.queued or self._awaiting_permit:
             return
         if not self._may_resend():
             self._finish_if_idle()
@@ -337,7 +399,7 @@
 
     def _finish_if_idle(self) -> None:
         """Finish without an acceptable response if no call is in flight."""
-        if self._in_flight or self.result is not None:
+        if self._in_flight or self._awaiting_permit or self.result is not None:
             return
         if self._error_response is not None:
             self._finish(Responded(self._error_response))
--- a/packages/tier/src/godwitflow/tier/traffic.py
+++ b/packages/tier/src/godwitflow/tier/traffic.py
@@ -22,6 +22,7 @@
     MEMBERSHIP = "membership"
     ANNOUNCEMENTS = "announcements"
     UPSTREAM_REPORTS = "upstream_reports"
+    PERMITS = "permits"
 
 
 class Locality(enum.Enum):
--- a/packages/tier/tests/fleet.py
+++ b/packages/tier/tests/fleet.py
@@ -14,9 +14,12 @@
         self.random = random.Random(seed)
         self.reactor = simulation.SimulatedReactor()
         self.reactor.advance(1_000.0)
+        self._options = options
         self.nodes = [
             self._add_node(f"n{number}", options) for number in range(nodes)
         ]
+        for node in self.nodes:
+            node.dispatcher.apply_node_count(nodes)
         self.services = self.reactor.services
         self.callers = []
 
@@ -24,9 +27,26 @@
         node = simulation.Simulation(
             node=name, reactor=self.reactor, **options
         )
-        node.dispatcher.apply_node_count(9)
         return node
 
+    def remove(self, node):
+        """Kill a node; its peers notice at once."""
+        self.nodes.remove(node)
+        del self.reactor.nodes[node.node]
+        self.members_changed()
+
+    def restart(self, name):
+        """Replace a node by one that knows nothing yet."""
+        old = next(node for node in self.nodes if node.node == name)
+        self.nodes.remove(old)
+        self.nodes.append(self._add_node(name, self._options))
+        self.members_changed()
+
+    def members_changed(self):
+        """Tell all nodes that the members have changed."""
+        for node in self.nodes:
+            node.dispatcher.permits.on_members_changed()
+
     def run(self, for_ms, requests_per_s, target=b"/one/"):
         """Send requests to random nodes, and advance the clock."""
         chance = requests_per_s * STEP_MS / 1_000.0
@@ -35,6 +55,8 @@
                 caller, _ = self.random.choice(self.nodes).send(target)
                 self.callers.append(caller)
             self.reactor.advance(STEP_MS / 1_000.0)
+            for node in self.nodes:
+                node.exchange.tick()
 
     def served_share(self):
         """Return the share of the requests so far that got a 200."""
--- a/packages/tier/tests/simulation.py
+++ b/packages/tier/tests/simulation.py
@@ -3,6 +3,7 @@
 import dataclasses
 import enum
 import itertools
+import random
 import zlib
 
 from twisted.internet import error
@@ -18,9 +19,12 @@
 from godwitflow.tier import dispatcher
 from godwitflow.tier import front
 from godwitflow.tier import headers
+from godwitflow.tier import health_exchange
 from godwitflow.tier import limit_watch
 from godwitflow.tier import metrics
+from godwitflow.tier import permits
 from godwitflow.tier import traffic
+from godwitflow.wire import messages as wire_messages
 
 HEADER_NAMES = headers.HeaderNames(
     request_id=b"x-id",
@@ -198,6 +202,7 @@
         super().__init__()
         self.upstreams = {}
         self.services = {}
+        self.nodes = {}
 
     def now_ms(self):
         return self.seconds() * 1_000.0
@@ -216,6 +221,57 @@
         self.callLater(LINK_DELAY_S, client.makeConnection, transport)
 
 
+class Members:
+    """The members that a node knows, and the datagrams between them.
+
+    ``unreachable`` names members to and from which nothing gets through;
+    ``dead`` are those that this node takes for dead.
+    """
+
+    def __init__(self, node, reactor):
+        self.node = node
+        self.reactor = reactor
+        self.random = random.Random(zlib.crc32(node.encode()))
+        self.unreachable = set()
+        self.dead = set()
+        self.sent = []
+
+    def live_nodes(self):
+        return [node for node in self.reactor.nodes if node not in self.dead]
+
+    def node_count(self):
+        return len(self.reactor.nodes)
+
+    def send_to(self, nodes, message):
+        for node in nodes:
+            self.sent.append(message)
+            if node in self.reactor.nodes and node not in self.unreachable:
+                self.reactor.callLater(
+                    LINK_DELAY_S, self._deliver, node, message
+                )
+
+    def send_to_random(self, message, count):
+        others = [node for node in self.reactor.nodes if node != self.node]
+        self.send_to(
+            self.random.sample(others, min(count, len(others))), message
+        )
+
+    def _deliver(self, node, message):
+        receiver = self.reactor.nodes[node]
+        if receiver.frozen or self.node in receiver.members.unreachable:
+            return
+        handlers = receiver.dispatcher.permits
+        match message:
+            case wire_messages.PermitRequest():
+                handlers.on_request(self.node, message)
+            case wire_messages.PermitReply():
+                handlers.on_reply(self.node, message)
+            case wire_messages.LimitReports():
+                receiver.exchange.on_limit_reports(self.node, message)
+            case wire_messages.UpstreamReports():
+                receiver.exchange.on_upstream_reports(message)
+
+
 class RecordingLog:
     """Records the logged events."""
 
@@ -234,6 +290,7 @@
     def __init__(self, reactor):
         self.reactor = reactor
         self.response = None
+        self.sent_at_ms = reactor.now_ms()
         self.responded_at_ms = None
         self.response_count = 0
 
@@ -260,6 +317,7 @@
             self.reactor = SimulatedReactor()
             self.reactor.advance(1_000.0)
         self.node = ids.NodeId(node)
+        self.frozen = False
         self.log = RecordingLog()
         self.traffic = traffic.Traffic(ids.FailureDomain("d1"))
         self.metrics = metrics.Metrics()
@@ -278,6 +336,20 @@
             seed=zlib.crc32(node.encode()),
             limit_watch=self.limit_watch,
         )
+        self.members = Members(self.node, self.reactor)
+        self.dispatcher.permits = permits.Permits(
+            self.reactor,
+            self.reactor.now_ms,
+            self.node,
+            self.members,
+            self.dispatcher.find_upstream,
+            self.limit_watch,
+            self.log,
+        )
+        self.exchange = health_exchange.HealthExchange(
+            self.dispatcher, self.members.send_to_random
+        )
+        self.reactor.nodes[self.node] = self
         self.router = front.RequestRouter(self.dispatcher, self.log, 1)
         self.router.registrations_known = True
         self._request_ids = itertools.count()
--- a/packages/tier/tests/test_limit_watch.py
+++ b/packages/tier/tests/test_limit_watch.py
@@ -20,8 +20,10 @@
         helpers.set_all(sim, "one", rate_limits=(b"16.4",))
         sim.request(b"/one/")
         helpers.set_all(sim, "one", rate_limits=(b"8",))
+        sim.advance(1_000.0)
         sim.request(b"/one/")
         helpers.set_all(sim, "one", rate_limits=())
+        sim.advance(1_000.0)
         sim.request(b"/one/")
         known = logged(sim, "limit_known")
         self.assertEqual(
@@ -35,6 +37,7 @@
         helpers.set_all(sim, "one", rate_limits=(b"16.4",))
         for _ in range(3):
             sim.request(b"/one/")
+            sim.advance(1_000.0)
         sim.limit_watch.tick(sim.reactor.now_ms())
         (fields,) = logged(sim, "limited_calls")
         self.assertEqual(
@@ -56,6 +59,7 @@
         helpers.set_all(sim, "one", mode=Mode.REJECT, rate_limits=(b"16.4",))
         sim.request(b"/one/")
         helpers.set_all(sim, "one", rate_limits=())
+        sim.advance(1_000.0)
         sim.request(b"/one/")
         self.assertEqual(1, len(logged(sim, "limit_known")))
         self.assertEqual([], logged(sim, "limit_ended"))
@@ -76,5 +80,6 @@
             sim.limit_watch.tick(sim.reactor.now_ms())
         self.assertEqual(1, len(logged(sim, "limited_calls")))
         sim.advance(limit_watch.SUMMARY_INTERVAL_MS)
+        sim.request(b"/one/")
         sim.limit_watch.tick(sim.reactor.now_ms())
         self.assertEqual(2, len(logged(sim, "limited_calls")))
--- a/packages/wire/src/godwitflow/wire/messages.py
+++ b/packages/wire/src/godwitflow/wire/messages.py
@@ -325,6 +325,68 @@
     reports: tuple[UpstreamReport, ...]
 
 
+class PermitWant(msgspec.Struct, frozen=True, array_like=True):
+    """A call to a limited upstream for which a node asks a permit.
+
+    ``ticket`` identifies it in the answer. ``started_at_ms`` is the Unix
+    time of the upstream's start. The sender heard ``age_ms`` ago that the
+    upstream takes ``calls_per_s`` from all nodes together.
+    """
+
+    ticket: int
+    upstream: ids.UpstreamId
+    started_at_ms: int
+    urgent: bool
+    calls_per_s: float
+    age_ms: float
+
+
+class PermitRequest(msgspec.Struct, frozen=True, array_like=True, tag=21):
+    """A node asks the issuer, or the one standing in for it, for permits."""
+
+    standby: bool
+    wants: tuple[PermitWant, ...]
+
+
+class PermitAnswer(msgspec.Struct, frozen=True, array_like=True):
+    """The answer for one ticket.
+
+    After a denial, the next permit may be had in ``wait_ms``. The issuer
+    heard ``age_ms`` ago that the limit is ``calls_per_s``, or that there is
+    none any more if that is None. If ``age_ms`` is None it heard nothing.
+    """
+
+    ticket: int
+    issued: bool
+    wait_ms: float
+    calls_per_s: float | None = None
+    age_ms: float | None = None
+
+
+class PermitReply(msgspec.Struct, frozen=True, array_like=True, tag=22):
+    """The answers to a request for permits."""
+
+    answers: tuple[PermitAnswer, ...]
+
+
+class LimitReport(msgspec.Struct, frozen=True, array_like=True):
+    """What a response of an upstream said of its limit, ``age_ms`` ago.
+
+    ``calls_per_s`` is None if the upstream no longer states a limit.
+    """
+
+    upstream: ids.UpstreamId
+    started_at_ms: int
+    calls_per_s: float | None
+    age_ms: float
+
+
+class LimitReports(msgspec.Struct, frozen=True, array_like=True, tag=23):
+    """What a node itself heard of limits, sent to a few peers."""
+
+    reports: tuple[LimitReport, ...]
+
+
 Message = (
     Scatter
     | Piece
@@ -346,4 +408,7 @@
     | Revisions
     | Delta
     | UpstreamReports
+    | PermitRequest
+    | PermitReply
+    | LimitReports
 )
