Show that a response cut within its head is never a success

Reported by other operators: an upstream stopped in the middle of its head and closed, and callers got a 200 with an empty or short body. Here it cannot happen: a close completes a response only once its head is complete and has no framing. Tests end a response after each byte of its head, by a close and by a reset, also after an interim and after a late response; requests to one service get a 502 or the answer of another upstream, queries leave the part out.

--- a/packages/http1/tests/test_upstreams.py
+++ b/packages/http1/tests/test_upstreams.py
@@ -96,6 +96,46 @@
                 pending.connection.dataReceived(data[start:end])
         self.assertEqual([b"hello"], pending.bodies())
 
+    def test_response_that_ends_within_its_head_is_no_response(self):
+        head, chunked_head, unframed_head = (
+            response[: response.index(b"\r\n\r\n") + 4]
+            for response in (
+                RESPONSE,
+                CHUNKED_RESPONSE,
+                CLOSE_DELIMITED_RESPONSE,
+            )
+        )
+        for response in (
+            head,
+            chunked_head,
+            unframed_head,
+            head.replace(b"200 OK", b"500 Broken"),
+            b"HTTP/1.1 100 Continue\r\n\r\n" + unframed_head,
+            STALE_RESPONSE + unframed_head,
+        ):
+            for length in range(len(response)):
+                for reason in (transports.clean_close, transports.reset):
+                    pending = PendingCall()
+                    pending.connection.dataReceived(response[:length])
+                    pending.connection.connectionLost(reason())
+                    (outcome,) = pending.outcomes
+                    self.assertIsInstance(
+                        outcome, upstreams.Failed, response[:length]
+                    )
+                    self.assertEqual([], pending.owner.idle)
+
+    def test_framed_response_that_ends_within_its_body_is_no_response(self):
+        for response in (RESPONSE, CHUNKED_RESPONSE):
+            head_bytes = response.index(b"\r\n\r\n") + 4
+            for length in range(head_bytes, len(response)):
+                pending = PendingCall()
+                pending.connection.dataReceived(response[:length])
+                pending.connection.connectionLost(transports.clean_close())
+                (outcome,) = pending.outcomes
+                self.assertIsInstance(
+                    outcome, upstreams.Failed, response[:length]
+                )
+
     @SETTINGS
     @hypothesis.given(strategies.binary(min_size=1, max_size=80))
     def test_bytes_after_a_response_never_reach_the_next_request(
--- a/packages/tier/tests/simulation.py
+++ b/packages/tier/tests/simulation.py
@@ -60,6 +60,7 @@
     UNSIGNED = "unsigned"
     UNMARKED_503 = "unmarked_503"
     UNMARKED_429 = "unmarked_429"
+    CUT_HEAD = "cut_head"
 
 
 @dataclasses.dataclass
@@ -148,6 +149,8 @@
         match mode:
             case Mode.RESET:
                 self.reactor.callLater(wait_s, self._lose_connection)
+            case Mode.CUT_HEAD:
+                self._reply(wait_s, 200, headers, upstream.body, cut=True)
             case Mode.ERROR:
                 self._reply(wait_s, 500, headers, b"broken")
             case Mode.UNMARKED_503:
@@ -166,22 +169,32 @@
             case _:
                 self._reply(wait_s, 200, headers, upstream.body)
 
-    def _reply(self, wait_s, status, headers, body):
+    def _reply(self, wait_s, status, headers, body, cut=False):
         limits = [(b"X-Rate", value) for value in self.upstream.rate_limits]
         data = messages.serialize_response(
             messages.Response(status, b"", headers + limits, body), False
         )
-        self.reactor.callLater(wait_s + LINK_DELAY_S, self._deliver, data)
+        deliver = self._deliver
+        if cut:
+            data = data[: data.index(b"\r\n\r\n") - 4]
+            deliver = self._deliver_and_close
+        self.reactor.callLater(wait_s + LINK_DELAY_S, deliver, data)
 
     def _deliver(self, data):
         if self.open:
             self.pending_request = None
             self.client.dataReceived(data)
 
-    def _lose_connection(self):
+    def _deliver_and_close(self, data):
+        self._deliver(data)
+        self._lose_connection(error.ConnectionDone())
+
+    def _lose_connection(self, reason=None):
         if self.open:
             self.open = False
-            self.client.connectionLost(failure.Failure(error.ConnectionLost()))
+            self.client.connectionLost(
+                failure.Failure(reason or error.ConnectionLost())
+            )
 
 
 def parse_request(data):
--- a/packages/tier/tests/test_gather_handler.py
+++ b/packages/tier/tests/test_gather_handler.py
@@ -12,6 +12,15 @@
 
 
 class GatherHandlerTest(unittest.TestCase):
+    def test_part_cut_within_its_head_is_left_out(self):
+        sim = simulation.Simulation(shards=4)
+        helpers.set_all(sim, "s0", mode=Mode.CUT_HEAD)
+        caller = sim.request(b"/all/x")
+        self.assertEqual(200, caller.response.status)
+        self.assertEqual(
+            b"1", simulation.find_header(caller.response, b"x-missing")
+        )
+
     def test_complete_response_lists_all_parts_and_top_records(self):
         sim = simulation.Simulation(shards=4)
         caller = sim.request(b"/all/x")
--- a/packages/tier/tests/test_single_handler.py
+++ b/packages/tier/tests/test_single_handler.py
@@ -125,6 +125,20 @@
         for _ in range(10):
             self.assertEqual(200, sim.request(b"/one/").response.status)
 
+    def test_response_cut_within_its_head_never_becomes_a_success(self):
+        for target, calls in ((b"/one/", 2), (b"/once/", 1)):
+            sim = simulation.Simulation()
+            helpers.set_all(sim, "one", mode=Mode.CUT_HEAD, body=b"x" * 32)
+            caller = sim.request(target)
+            self.assertEqual(502, caller.response.status)
+            self.assertEqual(calls, helpers.execution_count(sim, "one"))
+        sim = simulation.Simulation()
+        sim.services["one"][0].mode = Mode.CUT_HEAD
+        for _ in range(10):
+            caller = sim.request(b"/one/")
+            self.assertEqual(200, caller.response.status)
+            self.assertEqual(16, len(caller.response.body))
+
     def test_unmarked_not_executed_status_is_not_forwarded(self):
         """An upstream may execute a request and still respond with 503."""
         for mode in (Mode.UNMARKED_503, Mode.UNMARKED_429):
