Answer every request before a stopping node ends

Cause: a stopping node took every request for three quarters of the grace period, whatever its target time, and closed at 0.92 of it what was left. Evidence: before the change both new node tests fail: the request to a slow upstream gets no bytes at all, and one that runs at most once is still taken 3.6 s into a grace period of 6 s, with a target of 1 s. Change: policy/stop_plan.py takes a request only if its target time still fits, twice if it runs at most once, and refuses others with 503, before they are sent anywhere.

--- a/packages/tier/src/godwitflow/tier/front.py
+++ b/packages/tier/src/godwitflow/tier/front.py
@@ -1,6 +1,7 @@
 """HTTP listeners of a node and the routing of callers' requests."""
 
 import typing
+import weakref
 
 import msgspec
 from twisted.internet import protocol
@@ -10,14 +11,17 @@
 from godwitflow.model import ids
 from godwitflow.policy import crash_history
 from godwitflow.policy import routing
+from godwitflow.policy import stop_plan
 from godwitflow.tier import dispatcher as dispatching
 from godwitflow.tier import gather_handler
 from godwitflow.tier import log as logs
 from godwitflow.tier import outbound_request
+from godwitflow.tier import request_handler
 from godwitflow.tier import single_handler
 
 NOT_READY_RETRY_S = 0.3
 BLOCKED_RETRY_S = 30.0
+STOPPING_RETRY_S = 0.05
 MAX_CALLER_DEADLINE_MS = 3_600_000.0
 
 
@@ -75,7 +79,11 @@
         self.log = log
         self.route_table: routing.RouteTable | None = None
         self.registrations_known = False
+        self.stop_plan: stop_plan.StopPlan | None = None
         self._seed = seed
+        self._handlers: weakref.WeakSet[request_handler.RequestHandler] = (
+            weakref.WeakSet()
+        )
 
     def apply_configuration(
         self, configuration: routing.Configuration
@@ -111,20 +119,46 @@
             return
         version = self.route_table.configuration.version
         outbound = self._outbound_request(request, route, version)
+        if not self._takes(outbound):
+            self._refuse(
+                exchange, outbound, "this node is stopping", STOPPING_RETRY_S
+            )
+            return
         if self._is_blocked(request):
-            self._refuse_blocked(exchange, outbound)
+            self._refuse(
+                exchange,
+                outbound,
+                "the request crashes its upstreams",
+                BLOCKED_RETRY_S,
+            )
             return
         match route.target:
             case routing.Gather() as gather:
-                gather_handler.GatherHandler(
+                handler = gather_handler.GatherHandler(
                     self.dispatcher, self.log, exchange, outbound
-                ).start(gather)
+                )
+                self._handlers.add(handler)
+                handler.start(gather)
             case routing.WeightedSplit() as split:
                 service = self.route_table.choose_service(route, split)
                 self._start_single(exchange, outbound, service)
             case routing.Single(service):
                 self._start_single(exchange, outbound, service)
 
+    def give_up_all(self) -> None:
+        """Answer all requests in flight, as this node is about to end."""
+        for handler in list(self._handlers):
+            if not handler.finished:
+                handler.give_up()
+
+    def _takes(self, outbound: outbound_request.OutboundRequest) -> bool:
+        """Return whether a request should end before this node stops."""
+        return self.stop_plan is None or self.stop_plan.takes(
+            self.dispatcher.now_ms(),
+            outbound.route.target_ms,
+            outbound.idempotent,
+        )
+
     def _is_blocked(self, request: messages.Request) -> bool:
         if not self.dispatcher.crash_history.has_records:
             return False
@@ -134,23 +168,22 @@
         now_ms = self.dispatcher.now_ms()
         return self.dispatcher.crash_history.is_blocked(fingerprint, now_ms)
 
-    def _refuse_blocked(
+    def _refuse(
         self,
         exchange: callers.Exchange,
         outbound: outbound_request.OutboundRequest,
+        reason: str,
+        retry_after_s: float,
     ) -> None:
+        """Refuse a request before it is sent to any upstream."""
         self.log.limited_event(
             "refused",
             request=outbound.request_id_text,
             route=outbound.route.name,
             status=503,
-            reason="the request crashes its upstreams",
-        )
-        exchange.respond(
-            messages.text_response(
-                503, "the request crashes its upstreams", BLOCKED_RETRY_S
-            )
+            reason=reason,
         )
+        exchange.respond(messages.text_response(503, reason, retry_after_s))
 
     def _start_single(
         self,
@@ -161,6 +194,7 @@
         handler = single_handler.SingleHandler(
             self.dispatcher, self.log, exchange, outbound
         )
+        self._handlers.add(handler)
         handler.start(service)
 
     def _outbound_request(
--- a/packages/tier/src/godwitflow/tier/gather_handler.py
+++ b/packages/tier/src/godwitflow/tier/gather_handler.py
@@ -118,10 +118,14 @@
 
     def _on_cutoff(self) -> None:
         self._past_cutoff = True
-        self._schedule(self._times.give_up_at_ms, self._on_give_up_time)
+        self._schedule(self._times.give_up_at_ms, self.give_up)
         self._finish_if_decided()
 
-    def _on_give_up_time(self) -> None:
+    def give_up(self) -> None:
+        """Answer with the parts that are in, or refuse."""
+        if self._gather.is_sufficient(len(self._parts)):
+            self._respond_with_parts()
+            return
         possibly_executed = any(
             subrequest.possibly_executed for subrequest in self._subrequests
         )
--- a/packages/tier/src/godwitflow/tier/node.py
+++ b/packages/tier/src/godwitflow/tier/node.py
@@ -6,6 +6,7 @@
 
 import dataclasses
 import enum
+import functools
 import random
 import typing
 
@@ -18,6 +19,7 @@
 from godwitflow.policy import node_load
 from godwitflow.policy import registrations
 from godwitflow.policy import routing
+from godwitflow.policy import stop_plan
 from godwitflow.store import objects
 from godwitflow.tier import cluster_state
 from godwitflow.tier import directory
@@ -44,10 +46,6 @@
 LISTEN_BACKLOG = 512
 STOP_CHECK_INTERVAL_S = 0.1
 MIN_STOP_TTLS = 1.2  # callers use an address until its TTL has passed
-# Shares of the grace period of a stop.
-CLOSE_IDLE_SHARE = 0.58
-REFUSE_SHARE = 0.75
-MAX_STOP_SHARE = 0.92
 
 
 class Stage(enum.Enum):
@@ -177,7 +175,6 @@
         self._caller_port: typing.Any = None
         self._stopped: defer.Deferred[None] = defer.Deferred()
         self._stopping_at_ms = 0.0
-        self._refuse_after_ms = 0.0
 
     # Start --------------------------------------------------------------
 
@@ -347,12 +344,6 @@
     # Requests -----------------------------------------------------------
 
     def _on_request(self, exchange: callers.Exchange) -> None:
-        now_ms = self._now_ms()
-        if self.stage is Stage.STOPPING and now_ms > self._refuse_after_ms:
-            exchange.respond(
-                http_messages.text_response(503, "this node is stopping", 0.05)
-            )
-            return
         self.router.handle(exchange)
 
     def _on_ready_check(self, exchange: callers.Exchange) -> None:
@@ -420,28 +411,34 @@
         if self.stage is Stage.STOPPING:
             return
         self.stage = Stage.STOPPING
-        grace_ms = self._settings.bounds.stop_grace_ms
         now_ms = self._now_ms()
         self._stopping_at_ms = now_ms
-        self._refuse_after_ms = now_ms + REFUSE_SHARE * grace_ms
+        self.router.stop_plan = stop_plan.plan_stop(
+            now_ms, self._settings.bounds.stop_grace_ms
+        )
         self._log.event(
             "stopping", connections=len(self._caller_listener.connections)
         )
         self.peers.leave()
         self._caller_listener.closing = True
-        self._start_loop(STOP_CHECK_INTERVAL_S, self._check_stopped)
+        self._start_loop(
+            STOP_CHECK_INTERVAL_S,
+            functools.partial(self._check_stopped, self.router.stop_plan),
+        )
 
-    def _check_stopped(self) -> None:
-        grace_ms = self._settings.bounds.stop_grace_ms
-        elapsed_ms = self._now_ms() - self._stopping_at_ms
-        if elapsed_ms >= CLOSE_IDLE_SHARE * grace_ms:
+    def _check_stopped(self, plan: stop_plan.StopPlan) -> None:
+        now_ms = self._now_ms()
+        elapsed_ms = now_ms - self._stopping_at_ms
+        if now_ms >= plan.answer_at_ms:
+            self.router.give_up_all()
+        if now_ms >= plan.close_idle_at_ms:
             self._caller_listener.close_idle()
         idle = not self._caller_listener.connections
         addresses_expired = (
             elapsed_ms >= MIN_STOP_TTLS * self.directory.address_ttl_ms
         )
         drained = addresses_expired and idle
-        if drained or elapsed_ms >= MAX_STOP_SHARE * grace_ms:
+        if drained or now_ms >= plan.end_at_ms:
             self._finish_stop()
 
     def _finish_stop(self) -> None:
--- a/packages/tier/src/godwitflow/tier/request_handler.py
+++ b/packages/tier/src/godwitflow/tier/request_handler.py
@@ -76,6 +76,10 @@
         )
         self.exchange.respond(response)
 
+    def give_up(self) -> None:
+        """Answer the request now; nothing is waited for any longer."""
+        raise NotImplementedError
+
     def _on_disconnect(self) -> None:
         raise NotImplementedError
 
--- a/packages/tier/src/godwitflow/tier/single_handler.py
+++ b/packages/tier/src/godwitflow/tier/single_handler.py
@@ -36,7 +36,7 @@
             )
             self._schedule(hedge_at_ms, self._on_hedge_time)
         else:
-            self._schedule(self._give_up_at_ms(), self._on_give_up_time)
+            self._schedule(self._give_up_at_ms(), self.give_up)
 
     def _is_acceptable(self, response: messages.Response) -> bool:
         return response.status < 500 and self._is_forwardable(response)
@@ -68,9 +68,10 @@
 
     def _on_hedge_time(self) -> None:
         self._subrequest.hedge()
-        self._schedule(self._give_up_at_ms(), self._on_give_up_time)
+        self._schedule(self._give_up_at_ms(), self.give_up)
 
-    def _on_give_up_time(self) -> None:
+    def give_up(self) -> None:
+        """Cancel the calls, and say whether the request may have run."""
         possibly_executed = self._subrequest.possibly_executed
         self._subrequest.cancel()
         if possibly_executed:
--- a/packages/tier/tests/test_node.py
+++ b/packages/tier/tests/test_node.py
@@ -32,8 +32,19 @@
     def decode_configuration(self, stored):
         if stored.spec is None:
             raise errors.SettingsError(("no spec",))
+        one = routing.Single("one")
+        once = routing.RetryPolicy.AT_MOST_ONCE
         routes = (
-            simulation.make_route("one", b"/one/", routing.Single("one")),
+            simulation.make_route("one", b"/one/", one),
+            simulation.make_route("long", b"/long/", one, timeout_ms=9_000.0),
+            simulation.make_route(
+                "once",
+                b"/once/",
+                one,
+                timeout_ms=9_000.0,
+                target_ms=1_000.0,
+                retry_policy=once,
+            ),
         )
         return routing.Configuration(
             stored.revision, stored.spec["version"], routes, {}, None
@@ -251,6 +262,32 @@
         fixture.advance(GRACE_MS)
         self.assertEqual([None], fixture.stop_results)
 
+    def test_request_taken_late_in_a_stop_is_answered_before_its_end(self):
+        for path in (b"/long/", b"/once/"):
+            fixture = NodeFixture()
+            fixture.fill_store()
+            fixture.advance(1_000.0)
+            fixture.upstream.latency_ms = 8_000.0
+            fixture.node.stop()
+            fixture.advance(3_200.0)
+            connection = fixture.connect(1)
+            connection.dataReceived(GET % path)
+            fixture.advance(100.0)
+            self.assertEqual(1, len(fixture.upstream.executions))
+            fixture.advance(GRACE_MS)
+            self.assertEqual([None], fixture.stop_results)
+            self.assertIn(b" 504 ", connection.transport.value())
+
+    def test_request_that_cannot_end_before_the_stop_is_refused_at_once(self):
+        fixture = NodeFixture()
+        fixture.fill_store()
+        fixture.advance(1_000.0)
+        fixture.node.stop()
+        fixture.advance(3_600.0)
+        self.assertIn(b" 503 ", fixture.request(1, b"/once/"))
+        self.assertIn(b" 200 ", fixture.request(1, b"/long/"))
+        self.assertEqual(1, len(fixture.upstream.executions))
+
     def test_exception_in_loop_is_logged_and_loop_restarted(self):
         fixture = NodeFixture()
         fixture.fill_store()
