Ignore permits that are read after a pause

What callers saw: nothing. Cause: whether a permit is still good was only decided by the timeout. After a pause of the node the reactor reads its sockets before it runs timers, so a permit from before the pause was used: a process that was delayed acted on a permission that had run out. Evidence: test_permit_that_is_read_after_a_pause_is_not_used failed before: the call was permitted 3 s after it was asked for. Change: an answer older than the timeout counts as a denial, and what it says of the limit is not taken either, as its age would be wrong.

--- a/packages/tier/src/godwitflow/tier/permits.py
+++ b/packages/tier/src/godwitflow/tier/permits.py
@@ -55,6 +55,7 @@
     urgent: bool
     on_decision: OnDecision
     issuer: ids.NodeId
+    asked_at_ms: float
 
 
 class Permits:
@@ -111,7 +112,7 @@
         self._last_ticket += 1
         urgent = rank == URGENT_RANK
         self._pending[self._last_ticket] = _Pending(
-            upstream, urgent, on_decision, issuer
+            upstream, urgent, on_decision, issuer, now_ms
         )
         if not self._unsent:
             self._reactor.callLater(0, self._send_requests)
@@ -200,12 +201,19 @@
     def _on_answer(
         self, answer: messages.PermitAnswer, issuer: ids.NodeId
     ) -> None:
-        """Process an answer; an unexpected or late one is ignored."""
+        """Process an answer; an unexpected one is ignored.
+
+        After a pause of this node, an answer may be read late but before
+        the timeout is noticed. Its permit has expired.
+        """
         pending = self._pending.get(answer.ticket)
         if pending is None or pending.issuer != issuer:
             return
         del self._pending[answer.ticket]
         now_ms = self._now_ms()
+        if now_ms - pending.asked_at_ms > REPLY_TIMEOUT_MS:
+            self._deny(pending, UNANSWERED_WAIT_MS, "expired", now_ms)
+            return
         if answer.age_ms is not None:
             news = rate_limits.LimitNews(
                 answer.calls_per_s, now_ms - answer.age_ms, issuer
