Send a hedge elsewhere if its permit is denied

What callers saw: a part was missing, or an answer late, though a replica had room: a hedge that asked for a permit and was denied was dropped. Cause: while the first call was in flight, a denied permit ended the attempt, whether it was the first call's or the hedge's. The retry budget was charged. Evidence: test_hedge_without_a_permit_goes_to_an_upstream_with_room failed before: 903 ms instead of under 100. Change: a denied hedge tries the other upstreams that have room, for the same charge to the budget; it still never queues.

--- a/packages/tier/src/godwitflow/tier/subrequest.py
+++ b/packages/tier/src/godwitflow/tier/subrequest.py
@@ -190,12 +190,15 @@
         self._permit_denied = self._permit_denied or not issued
         if issued and self._send_to(upstream, kind):
             return
-        if self._in_flight or self._awaiting_permit:
+        waiting = bool(self._in_flight or self._awaiting_permit)
+        if waiting and kind is not limit_watch.CallKind.HEDGE:
             return
-        if self._may_resend():
-            self._send_or_enqueue()
-        else:
+        if not self._may_resend():
             self._finish_if_idle()
+        elif waiting:
+            self._send_hedge(self._upstreams_with_room())
+        else:
+            self._send_or_enqueue()
 
     def _send_to(
         self, upstream: services.Upstream, kind: limit_watch.CallKind
@@ -268,16 +271,22 @@
             return False
         if require_headroom and not self._has_budget_headroom():
             return False
-        eligible = [
-            upstream
-            for upstream in self._eligible_upstreams()
-            if upstream.pool.has_capacity
-        ]
+        eligible = self._upstreams_with_room()
         if not eligible or not self._try_acquire_budget():
             return False
         self.dispatcher.record_repeated_call(
             self.outbound, self.service.name, "late"
         )
+        return self._send_hedge(eligible)
+
+    def _upstreams_with_room(self) -> list[services.Upstream]:
+        return [
+            upstream
+            for upstream in self._eligible_upstreams()
+            if upstream.pool.has_capacity
+        ]
+
+    def _send_hedge(self, eligible: list[services.Upstream]) -> bool:
         self._call_kind = limit_watch.CallKind.HEDGE
         return self._try_send(eligible)
 
