Issue permits for the whole limit that an upstream states

Cause: a tenth of the limit was kept back. The shard's last replica without a limit took that tenth, and its queue outlasted the cutoff. Why it is safe: in four seconds the issuer gives 4 r + 2 + r / 2 permits for a limit of r, the stand-in 1.2 r + 2 + 0.15 r more, 5.85 r + 4 together, against 6 r + 5 allowed (test_issuer_and_standby_together_keep_to_the_limit).

--- a/packages/policy/src/godwitflow/policy/permits.py
+++ b/packages/policy/src/godwitflow/policy/permits.py
@@ -21,7 +21,7 @@
 from godwitflow.model import ids
 
 GROUP_COUNT = 4  # bounds the issuers that one query has to ask
-PRIMARY_SHARE = 0.9
+PRIMARY_SHARE = 1.0
 STANDBY_SHARE = 0.3
 BURST_CALLS = 2.0
 BURST_S = 0.5
