Log which request was denied a permit, and why parts are missing

What callers saw: nothing; on-call engineers could count the calls that a rate limit turned away, but not name the requests. Cause: permits were counted by upstream only, and partial_answer listed shards without a reason. A shard that ended with an error response was not listed at all. Change: permit_denied has the request, the upstream and the kind of call; partial_answer maps each missing shard to its reason. Whether a request is urgent is asked of the request in one place. Evidence: test_denied_permit_is_logged_with_its_request and test_log_says_why_each_part_is_missing.

--- a/packages/policy/src/godwitflow/policy/routing.py
+++ b/packages/policy/src/godwitflow/policy/routing.py
@@ -11,6 +11,8 @@
 
 from godwitflow.model import ids
 
+URGENT_RANK = ids.Rank(0)
+
 
 class RetryPolicy(enum.Enum):
     """Whether a route's requests may be sent more than once."""
--- a/packages/tier/src/godwitflow/tier/gather_handler.py
+++ b/packages/tier/src/godwitflow/tier/gather_handler.py
@@ -11,7 +11,6 @@
 from godwitflow.model import ids
 from godwitflow.policy import request_timing
 from godwitflow.policy import routing
-from godwitflow.tier import permits
 from godwitflow.tier import request_handler
 from godwitflow.tier import subrequest as subrequests
 
@@ -57,9 +56,10 @@
             if self.dispatcher.service(shard).unavailable(now_ms)
         ]
         self._unavailable_count = len(unavailable)
-        urgent = self.outbound.route.priority == permits.URGENT_RANK
         callable_count = sum(
-            self.dispatcher.service(shard).callable(urgent, now_ms)
+            self.dispatcher.service(shard).callable(
+                self.outbound.urgent, now_ms
+            )
             for shard in shards
         )
         if self._gather.is_sufficient(callable_count):
@@ -239,11 +239,12 @@
         self._respond(messages.Response(200, b"OK", headers, body))
 
     def _log_partial(self) -> None:
-        missing = [
-            subrequest.service.name
+        answered = {shard for shard, _ in self._parts}
+        missing = {
+            str(subrequest.service.name): _why_missing(subrequest.result)
             for subrequest in self._subrequests
-            if not isinstance(subrequest.result, subrequests.Responded)
-        ]
+            if subrequest.service.name not in answered
+        }
         self.log.limited_event(
             "partial_answer",
             request=self.outbound.request_id_text,
@@ -277,6 +278,16 @@
             subrequest.cancel()
 
 
+def _why_missing(result: subrequests.Result | None) -> str:
+    match result:
+        case None:
+            return "pending"
+        case subrequests.NoResponse(reason, _):
+            return reason.value
+        case subrequests.Responded(response):
+            return f"status {response.status}"
+
+
 def top_records(bodies: list[bytes], count: int) -> bytes:
     """Return the greatest ``count`` records of all bodies, descending.
 
--- a/packages/tier/src/godwitflow/tier/outbound_request.py
+++ b/packages/tier/src/godwitflow/tier/outbound_request.py
@@ -30,6 +30,11 @@
             return ""
         return self.request_id.decode("latin-1")
 
+    @property
+    def urgent(self) -> bool:
+        """Whether the request has the most urgent priority."""
+        return self.route.priority == routing.URGENT_RANK
+
     @property
     def idempotent(self) -> bool:
         """Whether the request may be executed more than once."""
--- a/packages/tier/src/godwitflow/tier/permits.py
+++ b/packages/tier/src/godwitflow/tier/permits.py
@@ -23,7 +23,6 @@
 SILENT_MS = 1_000.0
 WANTS_PER_DATAGRAM = 16
 MS_PER_S = 1_000.0
-URGENT_RANK = 0
 
 OnDecision = typing.Callable[[bool], None]
 FindUpstream = typing.Callable[[ids.UpstreamId, int], services.Upstream | None]
@@ -97,7 +96,7 @@
     def request(
         self,
         upstream: services.Upstream,
-        rank: ids.Rank,
+        urgent: bool,
         on_decision: OnDecision,
     ) -> None:
         """Ask for a permit for one call to a limited upstream.
@@ -110,7 +109,6 @@
             policy.group_of(upstream.registration.service), now_ms
         )
         self._last_ticket += 1
-        urgent = rank == URGENT_RANK
         self._pending[self._last_ticket] = _Pending(
             upstream, urgent, on_decision, issuer, now_ms
         )
--- a/packages/tier/src/godwitflow/tier/subrequest.py
+++ b/packages/tier/src/godwitflow/tier/subrequest.py
@@ -16,7 +16,6 @@
 from godwitflow.tier import dispatcher as dispatching
 from godwitflow.tier import limit_watch
 from godwitflow.tier import outbound_request
-from godwitflow.tier import permits
 from godwitflow.tier import services
 
 DETACHED_CALL_TIMEOUT_MS = 600.0
@@ -135,10 +134,6 @@
                 self.service, self.outbound.route.priority, self
             )
 
-    @property
-    def _urgent(self) -> bool:
-        return self.outbound.route.priority == permits.URGENT_RANK
-
     def _eligible_upstreams(self) -> list[services.Upstream]:
         """Return the untried upstreams that a call may be made to.
 
@@ -149,7 +144,7 @@
         permitted = [
             upstream
             for upstream in untried
-            if not upstream.denied(self._urgent, now_ms)
+            if not upstream.denied(self.outbound.urgent, now_ms)
         ]
         if untried and not permitted:
             self._reason = NoResponseReason.RATE_LIMITED
@@ -172,7 +167,7 @@
         self._tried.add(upstream.name)
         self.dispatcher.permits.request(
             upstream,
-            self.outbound.route.priority,
+            self.outbound.urgent,
             functools.partial(self._on_permit, upstream, self._call_kind),
         )
         return True
@@ -187,7 +182,8 @@
         self._tried.discard(upstream.name)
         if self.result is not None:
             return
-        self._permit_denied = self._permit_denied or not issued
+        if not issued:
+            self._on_permit_denied(upstream, kind)
         if issued and self._send_to(upstream, kind):
             return
         waiting = bool(self._in_flight or self._awaiting_permit)
@@ -200,6 +196,18 @@
         else:
             self._send_or_enqueue()
 
+    def _on_permit_denied(
+        self, upstream: services.Upstream, kind: limit_watch.CallKind
+    ) -> None:
+        self._permit_denied = True
+        self.dispatcher.log.limited_event(
+            "permit_denied",
+            request=self.outbound.request_id_text,
+            service=self.service.name,
+            upstream=upstream.name,
+            call=kind.value,
+        )
+
     def _send_to(
         self, upstream: services.Upstream, kind: limit_watch.CallKind
     ) -> bool:
--- a/packages/tier/tests/test_gather_handler.py
+++ b/packages/tier/tests/test_gather_handler.py
@@ -12,6 +12,21 @@
 
 
 class GatherHandlerTest(unittest.TestCase):
+    def test_log_says_why_each_part_is_missing(self):
+        sim = simulation.Simulation(shards=5)
+        helpers.set_all(sim, "s0", mode=Mode.ERROR)
+        sim.request(b"/all/x")
+        helpers.set_all(sim, "s0", mode=Mode.HEALTHY)
+        helpers.set_all(sim, "s1", latency_ms=900.0)
+        sim.advance(3_000.0)
+        sim.request(b"/all/x")
+        missing = [
+            fields["missing"]
+            for event, fields in sim.log.lines
+            if event == "partial_answer"
+        ]
+        self.assertEqual([{"s0": "status 500"}, {"s1": "pending"}], missing)
+
     def test_part_cut_within_its_head_is_left_out(self):
         sim = simulation.Simulation(shards=4)
         helpers.set_all(sim, "s0", mode=Mode.CUT_HEAD)
--- a/packages/tier/tests/test_permits.py
+++ b/packages/tier/tests/test_permits.py
@@ -11,7 +11,6 @@
 from godwitflow.wire import messages
 
 OTHER = ids.NodeId("n2")
-RANK = ids.Rank(1)
 
 
 class FakeMembers:
@@ -65,7 +64,7 @@
         self.decisions = []
 
     def request(self):
-        self.permits.request(self.upstream, RANK, self.decisions.append)
+        self.permits.request(self.upstream, False, self.decisions.append)
         self.sim.advance(1.0)
         return self.members.sent[-1].wants[-1]
 
--- a/packages/tier/tests/test_subrequest.py
+++ b/packages/tier/tests/test_subrequest.py
@@ -9,6 +9,7 @@
 
 REPLY_MS = 2.0
 DENIED_MS = 500.0
+DENIED_EVENT = "permit_denied"
 
 
 class DenyingPermits:
@@ -18,7 +19,7 @@
         self.reactor = reactor
         self.denied_count = 0
 
-    def request(self, upstream, rank, on_decision):
+    def request(self, upstream, urgent, on_decision):
         self.reactor.callLater(
             REPLY_MS / 1_000.0, self._deny, upstream, on_decision
         )
@@ -52,6 +53,19 @@
                 self.assertLess(waited_ms, 30.0)
             self.assertEqual(10, helpers.execution_count(sim, "one"))
 
+    def test_denied_permit_is_logged_with_its_request(self):
+        sim = limited_simulation(3)
+        sim.request(b"/one/")
+        denied = [
+            fields for event, fields in sim.log.lines if event == DENIED_EVENT
+        ]
+        self.assertEqual(3, len(denied))
+        self.assertEqual({"n1-0"}, {fields["request"] for fields in denied})
+        self.assertEqual(
+            {"one-0", "one-1", "one-2"},
+            {fields["upstream"] for fields in denied},
+        )
+
     def test_hedge_without_a_permit_goes_to_an_upstream_with_room(self):
         denied_count = 0
         for number in range(20):
