Show that many nodes exceed an upstream's connection cap

What callers would see: connections reset at an upstream, and calls repeated. Cause: a node's share of the cap is rounded up to one connection, so 64 nodes open up to 64 connections to an upstream that takes 26.

--- a/packages/tier/tests/simulation.py
+++ b/packages/tier/tests/simulation.py
@@ -42,6 +42,7 @@
     missing_parts_out=b"X-Missing",
 )
 LINK_DELAY_S = 0.0005
+CONNECTION_CAP = 26  # of each upstream, for all nodes together
 HOST = "a.example"
 
 
@@ -70,7 +71,8 @@
     ``executions`` holds the requests that it executed; ``rejected`` and
     ``cancelled`` count requests. ``arrived_at_ms`` holds the times at
     which requests arrived. ``rate_limits`` are the values of the header
-    that states a rate limit.
+    that states a rate limit. ``transports`` holds all connections, also
+    the closed ones.
     """
 
     name: str
@@ -85,6 +87,11 @@
     arrived_at_ms: list = dataclasses.field(default_factory=list)
     rate_limits: tuple = ()
     started_at_ms: int = 1
+    transports: list = dataclasses.field(default_factory=list)
+
+    @property
+    def connection_count(self):
+        return sum(transport.open for transport in self.transports)
 
     def registration(self):
         return registrations.Registration(
@@ -231,6 +238,7 @@
             return
         client = factory.buildProtocol(None)
         transport = FakeTransport(self, upstream, client)
+        upstream.transports.append(transport)
         self.callLater(LINK_DELAY_S, client.makeConnection, transport)
 
 
@@ -401,7 +409,7 @@
 
     def apply_configuration(self):
         services = {
-            name: routing.Service(name, "/health", 26)
+            name: routing.Service(name, "/health", CONNECTION_CAP)
             for name in self.services
         }
         configuration = routing.Configuration(
