--- a/packages/tier/src/godwitflow/tier/node.py
+++ b/packages/tier/src/godwitflow/tier/node.py
@@ -362,6 +362,7 @@
             *self.metrics.lines(),
             *self.traffic.lines(),
             *self.limit_watch.lines(),
+            *self.permits.lines(),
             metrics.gauge_line("caller_connections", connections),
             metrics.gauge_line("members", len(members)),
             metrics.gauge_line("log_lines_left_out", self._log.dropped_total),
--- a/packages/tier/src/godwitflow/tier/permits.py
+++ b/packages/tier/src/godwitflow/tier/permits.py
@@ -14,6 +14,7 @@
 from godwitflow.policy import rate_limits
 from godwitflow.tier import limit_watch as limit_watching
 from godwitflow.tier import log as logs
+from godwitflow.tier import metrics
 from godwitflow.tier import services
 from godwitflow.wire import messages
 
@@ -84,6 +85,7 @@
         ] = {}
         self._last_ticket = 0
         self._rankings: dict[policy.Group, list[ids.NodeId]] = {}
+        self._issuers: dict[policy.Group, ids.NodeId] = {}
         self._timeouts: dict[ids.NodeId, int] = {}
         self._silent_until_ms: dict[ids.NodeId, float] = {}
 
@@ -134,8 +136,30 @@
         if ranking is None:
             ranking = policy.rank_issuers(self._members.live_nodes(), group)
             self._rankings[group] = ranking
+            self._log_issuer(group, ranking)
         return ranking
 
+    def _log_issuer(
+        self, group: policy.Group, ranking: list[ids.NodeId]
+    ) -> None:
+        issuer = ranking[0] if ranking else None
+        previous = self._issuers.get(group)
+        if issuer is None or issuer == previous:
+            return
+        self._issuers[group] = issuer
+        self._log.limited_event(
+            "issuer", group=group, issuer=issuer, previous=previous
+        )
+
+    def lines(self) -> list[str]:
+        """Return the issuers asked so far as metrics, one line each."""
+        return [
+            metrics.gauge_line(
+                "permit_issuer", 1.0, group=str(group), issuer=issuer
+            )
+            for group, issuer in sorted(self._issuers.items())
+        ]
+
     def _send_requests(self) -> None:
         unsent, self._unsent = self._unsent, {}
         for (issuer, role), wants in unsent.items():
--- a/packages/tier/tests/test_limit_watch.py
+++ b/packages/tier/tests/test_limit_watch.py
@@ -64,6 +64,13 @@
         self.assertEqual(1, len(logged(sim, "limit_known")))
         self.assertEqual([], logged(sim, "limit_ended"))
 
+    def test_response_cut_short_or_of_another_upstream_states_nothing(self):
+        for mode in (Mode.CUT_HEAD, Mode.MISDIRECTED):
+            sim = simulation.Simulation(replicas=1)
+            helpers.set_all(sim, "one", mode=mode, rate_limits=(b"16.4",))
+            sim.request(b"/one/")
+            self.assertEqual([], logged(sim, "limit_known"))
+
     def test_new_instance_is_not_limited_by_what_the_old_one_stated(self):
         sim = simulation.Simulation(replicas=1)
         helpers.set_all(sim, "one", rate_limits=(b"16.4",))
--- a/packages/tier/tests/test_permits.py
+++ b/packages/tier/tests/test_permits.py
@@ -105,6 +105,21 @@
         self.sim.advance(2 * permits.REPLY_TIMEOUT_MS)
         self.assertEqual([False], self.decisions)
 
+    def test_change_of_the_issuer_is_logged_and_shown(self):
+        self.request()
+        (line,) = self.permits.lines()
+        self.assertIn(f'issuer="{OTHER}"', line)
+        self.members.nodes.remove(OTHER)
+        self.permits.on_members_changed()
+        self.permits.request(self.upstream, False, self.decisions.append)
+        logged = [
+            (fields["issuer"], fields["previous"])
+            for event, fields in self.sim.log.lines
+            if event == "issuer"
+        ]
+        own = self.members.nodes[0]
+        self.assertEqual([(OTHER, None), (own, OTHER)], logged)
+
     def test_node_that_is_not_the_issuer_denies(self):
         want = self.request()
         self.permits.on_request(OTHER, messages.PermitRequest(False, (want,)))
