Move introductions of starting nodes out of the peer protocol

First contacts, greetings and comparisons of tables are a module of their own, with the time as an argument; the order of what is sent stays. No behaviour changes: suites of tier and policy pass. The test that looked at contacted addresses looks at the same call in its new place.

--- a/packages/policy/src/godwitflow/policy/membership.py
+++ b/packages/policy/src/godwitflow/policy/membership.py
@@ -114,6 +114,14 @@
         rows = [member.update for member in self.members.values()]
         return (self.me, *rows)
 
+    def non_dead_members(self) -> list[messages.MemberUpdate]:
+        """Return the rows of members not known to be dead, self included."""
+        return [
+            update
+            for update in self.all_members()
+            if update.state is not _STATES.DEAD
+        ]
+
     def table_digest(self) -> int:
         """Return a digest of the table that is equal on equal tables.
 
--- a/packages/tier/src/godwitflow/tier/peer_protocol.py
+++ b/packages/tier/src/godwitflow/tier/peer_protocol.py
@@ -1,8 +1,7 @@
 """The datagram protocol between nodes.
 
 It carries the membership protocol, whose probes also spread member
-updates, and the announcements of other components. A node first contacts
-the seeds of its settings and the members that are listed in the store.
+updates, and the messages of other components.
 """
 
 import random
@@ -15,18 +14,13 @@
 from godwitflow.model import ids
 from godwitflow.policy import address_choice
 from godwitflow.policy import membership
+from godwitflow.tier import introductions
 from godwitflow.tier import log as logs
 from godwitflow.tier import traffic as traffic_module
 from godwitflow.wire import codec
 from godwitflow.wire import messages
 
 TICK_S = 0.1
-SEED_INTERVAL_MS = 300.0
-START_MS = 3_000.0
-START_PULL_INTERVAL_MS = 600.0
-PULL_INTERVAL_MS = 10_000.0
-CONTACT_INTERVAL_MS = 200.0
-CONTACTS_PER_ROUND = 4
 MEMBERS_PER_DATAGRAM = 12
 
 
@@ -96,23 +90,15 @@
     ) -> None:
         self.membership = membership.Membership(me, seed)
         self.rejected_count = 0
-        self._seeds = [
-            inner_address
-            for inner_address in seeds
-            if inner_address != me.inner_address
-        ]
         self._now_ms = now_ms
         self._log = log
         self._handler = handler
         self._traffic = traffic
         self._domains: dict[str, ids.FailureDomain] = {}
         self._random = random.Random(seed)
-        self._next_seed_contact_ms = 0.0
-        self._started_at_ms = now_ms()
-        self._next_pull_ms = now_ms() + START_PULL_INTERVAL_MS
-        self._greeted = {me.node}
-        self._contacts: list[str] = []
-        self._next_contact_ms = 0.0
+        self.introductions = introductions.Introductions(
+            self.membership, seeds, self._send, self._random, now_ms()
+        )
         self._logged_states: dict[ids.NodeId, messages.MemberState] = {}
 
     # Sending ------------------------------------------------------------
@@ -121,96 +107,12 @@
         """Run due protocol actions; to be called every ``TICK_S``."""
         now_ms = self._now_ms()
         self._send_all(self.membership.tick(now_ms))
-        isolated = len(self.membership.live_members()) <= 1
-        if isolated and now_ms >= self._next_seed_contact_ms:
-            self._next_seed_contact_ms = now_ms + SEED_INTERVAL_MS
-            self.contact(self._seeds)
-        self._contact_next(now_ms)
-        self._pull_table(now_ms)
+        self.introductions.tick(now_ms)
         self._report_changes()
 
-    def contact(self, inner_addresses: typing.Sequence[str]) -> None:
-        """Introduce this node to addresses; pull the table of one of them."""
-        if not inner_addresses:
-            return
-        introduction = self._announcement()
-        source = self._random.choice(inner_addresses)
-        for inner_address in inner_addresses:
-            batch: list[messages.Message] = [introduction]
-            if inner_address == source:
-                batch.append(messages.MembersPull())
-            self._send(inner_address, batch)
-
-    def _pull_table(self, now_ms: float) -> None:
-        """Compare tables with a member if it is time to.
-
-        Updates spread with a few rows a message, which takes long if many
-        nodes start together. The member sends its table only if it
-        differs. A starting node asks the seeds, which every node contacts
-        first, and later members of its own failure domain.
-        """
-        if now_ms < self._next_pull_ms:
-            return
-        starting = self._is_starting(now_ms)
-        self._next_pull_ms = now_ms + (
-            START_PULL_INTERVAL_MS if starting else PULL_INTERVAL_MS
-        )
-        me = self.membership.me
-        others = [
-            member for member in self.non_dead_members() if member is not me
-        ]
-        preferred = [
-            member
-            for member in others
-            if (
-                member.inner_address in self._seeds
-                if starting
-                else member.failure_domain == me.failure_domain
-            )
-        ]
-        if others:
-            member = self._random.choice(preferred or others)
-            pull = messages.MembersPull(self.membership.table_digest())
-            self._send(member.inner_address, [pull])
-
-    def _is_starting(self, now_ms: float) -> bool:
-        return now_ms - self._started_at_ms < START_MS
-
-    def _greet_new_members(self) -> None:
-        """Announce this node to the members that it did not know before.
-
-        Only a starting node does so. It introduced itself to the members
-        that it knew when it started or became ready, and others that start
-        at the same time may not have been among them.
-        """
-        if not self._is_starting(self._now_ms()):
-            return
-        announcement = self._announcement()
-        for member in self.non_dead_members():
-            if member.node not in self._greeted:
-                self._greeted.add(member.node)
-                self._send(member.inner_address, [announcement])
-
     def contact_unknown(self, inner_addresses: typing.Iterable[str]) -> None:
-        """Contact the addresses that belong to no known member.
-
-        A few are contacted at a time: after the first reply, which holds
-        the replying member's table, most of the others are known.
-        """
-        self._contacts = list(inner_addresses)
-        self._random.shuffle(self._contacts)
-
-    def _contact_next(self, now_ms: float) -> None:
-        """Contact the next unknown addresses if it is time to."""
-        if not self._contacts or now_ms < self._next_contact_ms:
-            return
-        self._next_contact_ms = now_ms + CONTACT_INTERVAL_MS
-        known = {
-            member.inner_address for member in self.membership.all_members()
-        }
-        unknown = [name for name in self._contacts if name not in known]
-        self._contacts = unknown[CONTACTS_PER_ROUND:]
-        self.contact(unknown[:CONTACTS_PER_ROUND])
+        """Contact the addresses that belong to no known member."""
+        self.introductions.contact_unknown(inner_addresses)
 
     def leave(self) -> None:
         """Announce to every member that this node is leaving."""
@@ -219,12 +121,7 @@
 
     def announce(self) -> None:
         """Send this node's current member update to every member."""
-        self.broadcast(self._announcement())
-
-    def _announcement(self) -> messages.Probe:
-        return messages.Probe(
-            membership.ANNOUNCEMENT_SEQUENCE, (self.membership.me,)
-        )
+        self.broadcast(introductions.announcement(self.membership.me))
 
     def broadcast(self, message: messages.Message) -> None:
         """Send a message to every other member not known to be dead."""
@@ -303,7 +200,7 @@
         for message in received.messages:
             self._dispatch(received.header, message)
         if self.membership.changed:
-            self._greet_new_members()
+            self.introductions.greet_new_members(self._now_ms())
         self._report_changes()
 
     def _dispatch(
@@ -399,11 +296,7 @@
 
     def non_dead_members(self) -> list[messages.MemberUpdate]:
         """Return the members that are not known to be dead, self included."""
-        return [
-            member
-            for member in self.membership.all_members()
-            if member.state is not messages.MemberState.DEAD
-        ]
+        return self.membership.non_dead_members()
 
     def node_count(self) -> int:
         """Return the number of nodes that share caps and budgets.
--- a/packages/tier/tests/test_peer_protocol.py
+++ b/packages/tier/tests/test_peer_protocol.py
@@ -153,7 +153,7 @@
         fleet.advance(SETTLE_S)
         node = fleet.by_address[fleet.addresses[5]]
         contacted = []
-        node.contact = contacted.extend
+        node.introductions.contact = contacted.extend
         node.contact_unknown([*fleet.addresses, "10.8.0.1:7740"])
         fleet.advance(2.0)
         self.assertEqual(["10.8.0.1:7740"], contacted)
