Move the results of a subrequest to a module of their own

Request handlers match on them without needing the subrequest itself, which had grown to 463 lines. No behaviour changes: the suite of tier passes.

--- a/packages/tier/src/godwitflow/tier/gather_handler.py
+++ b/packages/tier/src/godwitflow/tier/gather_handler.py
@@ -12,6 +12,7 @@
 from godwitflow.policy import request_timing
 from godwitflow.policy import routing
 from godwitflow.tier import request_handler
+from godwitflow.tier import results
 from godwitflow.tier import subrequest as subrequests
 
 RECORD_BYTES = 16
@@ -141,12 +142,10 @@
     # Parts --------------------------------------------------------------
 
     def _on_result(
-        self, subrequest: subrequests.Subrequest, result: subrequests.Result
+        self, subrequest: subrequests.Subrequest, result: results.Result
     ) -> None:
         match result:
-            case subrequests.Responded(response) if self._is_valid_part(
-                response
-            ):
+            case results.Responded(response) if self._is_valid_part(response):
                 self._parts.append((subrequest.service.name, response))
             case _:
                 self._failed_count += 1
@@ -278,13 +277,13 @@
             subrequest.cancel()
 
 
-def _why_missing(result: subrequests.Result | None) -> str:
+def _why_missing(result: results.Result | None) -> str:
     match result:
         case None:
             return "pending"
-        case subrequests.NoResponse(reason, _):
+        case results.NoResponse(reason, _):
             return reason.value
-        case subrequests.Responded(response):
+        case results.Responded(response):
             return f"status {response.status}"
 
 
--- a/packages/tier/src/godwitflow/tier/single_handler.py
+++ b/packages/tier/src/godwitflow/tier/single_handler.py
@@ -4,6 +4,7 @@
 from godwitflow.model import ids
 from godwitflow.policy import request_timing
 from godwitflow.tier import request_handler
+from godwitflow.tier import results
 from godwitflow.tier import subrequest as subrequests
 
 NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
@@ -64,7 +65,7 @@
         return 0 if self._succeeded() else self._subrequest.crash_count
 
     def _succeeded(self) -> bool:
-        return isinstance(self._subrequest.result, subrequests.Responded)
+        return isinstance(self._subrequest.result, results.Responded)
 
     def _on_hedge_time(self) -> None:
         self._subrequest.hedge()
@@ -84,14 +85,14 @@
             )
 
     def _on_result(
-        self, subrequest: subrequests.Subrequest, result: subrequests.Result
+        self, subrequest: subrequests.Subrequest, result: results.Result
     ) -> None:
         match result:
-            case subrequests.Responded(response) if not self._is_forwardable(
+            case results.Responded(response) if not self._is_forwardable(
                 response
             ):
                 self._refuse(502, "the upstream's answer was malformed")
-            case subrequests.Responded(response):
+            case results.Responded(response):
                 headers = messages.end_to_end_headers(response.headers)
                 if self.exchange.request.method == b"HEAD":
                     headers += _content_length(response)
@@ -103,7 +104,7 @@
                         response.body,
                     )
                 )
-            case subrequests.NoResponse(reason, may_have_run):
+            case results.NoResponse(reason, may_have_run):
                 if may_have_run:
                     self._refuse(502, f"upstream call failed: {reason.value}")
                 else:
@@ -119,9 +120,9 @@
             self._subrequest.detach()
 
 
-def _retry_after_s(reason: subrequests.NoResponseReason) -> float:
+def _retry_after_s(reason: results.NoResponseReason) -> float:
     match reason:
-        case subrequests.NoResponseReason.RATE_LIMITED:
+        case results.NoResponseReason.RATE_LIMITED:
             return RATE_LIMITED_RETRY_AFTER_S
         case _:
             return request_handler.RETRY_AFTER_S
--- a/packages/tier/src/godwitflow/tier/subrequest.py
+++ b/packages/tier/src/godwitflow/tier/subrequest.py
@@ -6,7 +6,6 @@
 """
 
 import dataclasses
-import enum
 import functools
 import typing
 
@@ -16,41 +15,13 @@
 from godwitflow.tier import dispatcher as dispatching
 from godwitflow.tier import limit_watch
 from godwitflow.tier import outbound_request
+from godwitflow.tier import results
 from godwitflow.tier import services
 
 DETACHED_CALL_TIMEOUT_MS = 600.0
 MS_PER_S = 1_000.0
 
 
-class NoResponseReason(enum.Enum):
-    """Why a subrequest has no response."""
-
-    NO_UPSTREAM = "no_upstream"
-    UNAVAILABLE = "unavailable"
-    REJECTED = "rejected"
-    NO_BUDGET = "no_budget"
-    FAILED = "failed"
-    RATE_LIMITED = "rate_limited"
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Responded:
-    """The response of an upstream, with any status."""
-
-    response: messages.Response
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class NoResponse:
-    """No response; the request may still have been executed."""
-
-    reason: NoResponseReason
-    may_have_run: bool
-
-
-Result = Responded | NoResponse
-
-
 @dataclasses.dataclass(slots=True, eq=False)
 class _InFlightCall:
     upstream: services.Upstream
@@ -74,13 +45,13 @@
         outbound: outbound_request.OutboundRequest,
         service: ids.ServiceName,
         is_acceptable: typing.Callable[[messages.Response], bool],
-        on_result: typing.Callable[["Subrequest", Result], None],
+        on_result: typing.Callable[["Subrequest", results.Result], None],
         skip_unavailable: bool = False,
     ) -> None:
         self.dispatcher = dispatcher
         self.outbound = outbound
         self.service = dispatcher.service(service)
-        self.result: Result | None = None
+        self.result: results.Result | None = None
         self.sent_count = 0
         self.crash_count = 0
         self.may_have_run = False
@@ -94,7 +65,7 @@
         self._awaiting_permit = 0
         self._permit_denied = False
         self._error_response: messages.Response | None = None
-        self._reason = NoResponseReason.NO_UPSTREAM
+        self._reason = results.NoResponseReason.NO_UPSTREAM
         self._detached = False
         self._call_kind = limit_watch.CallKind.FIRST
 
@@ -117,7 +88,7 @@
         """
         self.service.retry_budget.on_request(self.dispatcher.now_ms())
         if self._skip_unavailable and self.unavailable:
-            self._reason = NoResponseReason.UNAVAILABLE
+            self._reason = results.NoResponseReason.UNAVAILABLE
             self._finish_if_idle()
             return
         self._send_or_enqueue()
@@ -147,7 +118,7 @@
             if not upstream.denied(self.outbound.urgent, now_ms)
         ]
         if untried and not permitted:
-            self._reason = NoResponseReason.RATE_LIMITED
+            self._reason = results.NoResponseReason.RATE_LIMITED
         unlimited = [item for item in permitted if not item.limited]
         return (self._permit_denied and unlimited) or permitted
 
@@ -337,7 +308,7 @@
         self._log_failure(in_flight_call, elapsed_ms, outcome)
         match outcome:
             case upstreams.Replied(response) if rejected:
-                self._reason = NoResponseReason.REJECTED
+                self._reason = results.NoResponseReason.REJECTED
                 self._retry(sent=True)
             case upstreams.Replied(response):
                 self.may_have_run = True
@@ -346,7 +317,7 @@
                 if sent and reason is upstreams.FailureReason.CONNECTION_LOST:
                     self.crash_count += 1
                 self.may_have_run = self.may_have_run or sent
-                self._reason = NoResponseReason.FAILED
+                self._reason = results.NoResponseReason.FAILED
                 self._retry(sent=sent)
 
     def _log_failure(
@@ -386,9 +357,9 @@
 
     def _on_response(self, response: messages.Response) -> None:
         if self._is_acceptable(response):
-            self._finish(Responded(response))
+            self._finish(results.Responded(response))
             return
-        self._reason = NoResponseReason.FAILED
+        self._reason = results.NoResponseReason.FAILED
         if self._error_response is None:
             self._error_response = response
         self._retry(sent=True)
@@ -405,7 +376,7 @@
         if not self._may_resend():
             self._finish_if_idle()
         elif sent and not self._try_acquire_budget():
-            self._reason = NoResponseReason.NO_BUDGET
+            self._reason = results.NoResponseReason.NO_BUDGET
             self._finish_if_idle()
         else:
             self.dispatcher.record_repeated_call(
@@ -419,11 +390,11 @@
         if self._in_flight or self._awaiting_permit or self.result is not None:
             return
         if self._error_response is not None:
-            self._finish(Responded(self._error_response))
+            self._finish(results.Responded(self._error_response))
         else:
-            self._finish(NoResponse(self._reason, self.may_have_run))
+            self._finish(results.NoResponse(self._reason, self.may_have_run))
 
-    def _finish(self, result: Result) -> None:
+    def _finish(self, result: results.Result) -> None:
         self.result = result
         self.queued = False
         if self._in_flight:
@@ -439,14 +410,14 @@
         outcomes. Calls are cancelled after ``DETACHED_CALL_TIMEOUT_MS``.
         """
         if self.result is None:
-            self.result = NoResponse(self._reason, self.may_have_run)
+            self.result = results.NoResponse(self._reason, self.may_have_run)
             self.queued = False
         self._detach_calls()
 
     def cancel(self) -> None:
         """End without a result and cancel the calls in flight."""
         if self.result is None:
-            self.result = NoResponse(self._reason, self.may_have_run)
+            self.result = results.NoResponse(self._reason, self.may_have_run)
             self.queued = False
         self._cancel_calls()
 
