--- a/packages/tier/tests/fleet.py
+++ b/packages/tier/tests/fleet.py
@@ -2,6 +2,7 @@
 
 import random
 
+import simulated_upstreams
 import simulation
 
 STEP_MS = 1.0
@@ -12,7 +13,7 @@
 
     def __init__(self, nodes=9, seed=1, **options):
         self.random = random.Random(seed)
-        self.reactor = simulation.SimulatedReactor()
+        self.reactor = simulated_upstreams.SimulatedReactor()
         self.reactor.advance(1_000.0)
         self._options = options
         self.nodes = [
--- a/packages/tier/tests/test_gather_handler.py
+++ b/packages/tier/tests/test_gather_handler.py
@@ -2,13 +2,14 @@
 
 import unittest
 
+import simulated_upstreams
 import simulation
 import simulation_helpers as helpers
 
 from godwitflow.policy import routing
 from godwitflow.tier import gather_handler
 
-Mode = simulation.Mode
+Mode = simulated_upstreams.Mode
 
 
 class GatherHandlerTest(unittest.TestCase):
--- a/packages/tier/tests/test_health_exchange.py
+++ b/packages/tier/tests/test_health_exchange.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+import simulated_upstreams
 import simulation
 
 from godwitflow.model import ids
@@ -9,7 +10,7 @@
 from godwitflow.wire import codec
 from godwitflow.wire import messages
 
-Mode = simulation.Mode
+Mode = simulated_upstreams.Mode
 
 
 class SimulatedNode:
--- a/packages/tier/tests/test_limit_watch.py
+++ b/packages/tier/tests/test_limit_watch.py
@@ -2,12 +2,13 @@
 
 import unittest
 
+import simulated_upstreams
 import simulation
 import simulation_helpers as helpers
 
 from godwitflow.tier import limit_watch
 
-Mode = simulation.Mode
+Mode = simulated_upstreams.Mode
 
 
 def logged(sim, event):
--- a/packages/tier/tests/test_node.py
+++ b/packages/tier/tests/test_node.py
@@ -3,6 +3,7 @@
 import dataclasses
 import unittest
 
+import simulated_upstreams
 import simulation
 from twisted.internet import defer
 from twisted.internet import testing
@@ -53,7 +54,7 @@
     def decode_registration(self, stored):
         if "address" not in stored.spec:
             return None
-        upstream = simulation.Upstream(
+        upstream = simulated_upstreams.Upstream(
             stored.name, "one", stored.spec["address"]
         )
         return upstream.registration()
@@ -106,7 +107,9 @@
     ):
         upstream = self.upstreams[f"{host}:{port}"]
         client = factory.buildProtocol(None)
-        client.makeConnection(simulation.FakeTransport(self, upstream, client))
+        client.makeConnection(
+            simulated_upstreams.FakeTransport(self, upstream, client)
+        )
 
 
 class NodeFixture:
@@ -117,7 +120,9 @@
     """
 
     def __init__(self):
-        self.upstream = simulation.Upstream("u1", "one", "10.0.1.1:80")
+        self.upstream = simulated_upstreams.Upstream(
+            "u1", "one", "10.0.1.1:80"
+        )
         self.upstream.body = b"whole"
         self.reactor = FakeReactor({"10.0.1.1:80": self.upstream})
         self.store = memory_object_store.MemoryObjectStore(self.reactor)
--- a/packages/tier/tests/test_single_handler.py
+++ b/packages/tier/tests/test_single_handler.py
@@ -2,13 +2,14 @@
 
 import unittest
 
+import simulated_upstreams
 import simulation
 import simulation_helpers as helpers
 
 from godwitflow.model import ids
 from godwitflow.policy import crash_history
 
-Mode = simulation.Mode
+Mode = simulated_upstreams.Mode
 
 
 class SingleHandlerTest(unittest.TestCase):
