Leave a part out when the replicas without a limit have no room

What callers saw: in a burst while two of a shard's three replicas stated a low limit, most answers lacked its part and came only at the cutoff, though the third replica could answer three quarters of the calls in time. Cause: all denied calls went to the last replica without a limit. Its queue grew until every call was answered too late. Change: while a service has a replica whose permits are denied, calls to its other replicas are added with a chance that falls as their expected latency nears the time left; urgent calls, and the only call in flight, always go. Nothing changes for services without a limit.

--- a/packages/policy/src/godwitflow/policy/replica_choice.py
+++ b/packages/policy/src/godwitflow/policy/replica_choice.py
@@ -37,6 +37,7 @@
 STEADY_MIN_CALLS = 2
 STEADY_SLOTS_SHARE = 0.5
 STEADY_CALL_MEDIANS = 2.0
+ROOM_LATENCY_SHARE = 0.4
 EJECT_AFTER = 3
 EJECT_MS = 500.0
 EJECT_MAX_MS = 1_000.0
@@ -209,6 +210,23 @@
         call_ms = now_ms - self.oldest_call_at_ms
         return call_ms <= STEADY_CALL_MEDIANS * median_ms
 
+    def has_room(
+        self, now_ms: float, median_ms: float, left_ms: float, draw: float
+    ) -> bool:
+        """Return whether to add a call that is needed within ``left_ms``.
+
+        In an overload the queue of an upstream grows until every call is
+        answered too late. The more of the time the expected latency takes,
+        the fewer calls are added, so that those are answered in time.
+        ``draw`` is a random number from 0 to 1. One call is always
+        allowed, or the end of the overload would not be noticed.
+        """
+        if not self.in_flight:
+            return True
+        self._decay(now_ms)
+        latency_share = median_ms * self.latency_ratio / max(1.0, left_ms)
+        return draw * (1.0 - ROOM_LATENCY_SHARE) < 1.0 - latency_share
+
     def needs_trial(self, now_ms: float) -> bool:
         """Return whether a trial call has to succeed before other calls."""
         return self.unresponsive or self.unavailable(now_ms)
--- a/packages/policy/tests/test_replica_choice.py
+++ b/packages/policy/tests/test_replica_choice.py
@@ -158,3 +158,51 @@
         self.assertEqual(0.0, self.share_near(100.0))
         self.near.on_reply(600.0, 10.0, 10.0)
         self.assertGreater(self.share_near(20_000.0), 0.99)
+
+
+class RoomTest(unittest.TestCase):
+    MEDIAN_MS = 10.0
+
+    def setUp(self):
+        self.health = replica_choice.ReplicaHealth(in_flight=1)
+
+    def room_share(self, left_ms, now_ms=1_000.0):
+        rng = random.Random(5)
+        hits = sum(
+            self.health.has_room(now_ms, self.MEDIAN_MS, left_ms, rng.random())
+            for _ in range(1_000)
+        )
+        return hits / 1_000
+
+    def slow_down(self, ratio):
+        for _ in range(30):
+            self.health.on_reply(
+                1_000.0, ratio * self.MEDIAN_MS, self.MEDIAN_MS
+            )
+
+    def test_normal_replica_has_room(self):
+        self.assertEqual(1.0, self.room_share(50.0))
+
+    def test_replica_that_answers_too_late_has_no_room(self):
+        self.slow_down(6.0)
+        self.assertEqual(0.0, self.room_share(50.0))
+
+    def test_fewer_calls_are_added_the_less_time_is_left(self):
+        self.slow_down(4.0)
+        shares = [self.room_share(left_ms) for left_ms in (100, 60, 50, 39)]
+        self.assertEqual(1.0, shares[0])
+        self.assertEqual(sorted(shares, reverse=True), shares)
+        self.assertGreater(shares[2], 0.0)
+        self.assertEqual(0.0, shares[3])
+
+    def test_replica_without_calls_in_flight_gets_one(self):
+        self.slow_down(8.0)
+        self.health.in_flight = 0
+        self.assertEqual(1.0, self.room_share(5.0))
+
+    def test_replica_has_room_again_after_a_while(self):
+        self.slow_down(6.0)
+        self.assertEqual(1.0, self.room_share(50.0, now_ms=12_000.0))
+
+    def test_no_time_left_is_no_room(self):
+        self.assertEqual(0.0, self.room_share(-5.0))
--- a/packages/tier/src/godwitflow/tier/gather_handler.py
+++ b/packages/tier/src/godwitflow/tier/gather_handler.py
@@ -31,6 +31,7 @@
         self._subrequests: list[subrequests.Subrequest] = []
         if self._refuse_if_unavailable():
             return
+        self._times = self._plan()
         for shard in gather.shards:
             subrequest = subrequests.Subrequest(
                 self.dispatcher,
@@ -38,6 +39,7 @@
                 shard,
                 self._is_valid_part,
                 self._on_result,
+                self._times.cutoff_at_ms,
                 skip_unavailable=True,
             )
             self._subrequests.append(subrequest)
@@ -45,7 +47,9 @@
             if not self.finished:
                 subrequest.start()
         if not self.finished:
-            self._schedule_hedging()
+            self._schedule(
+                self._times.first_hedge_at_ms, self._on_first_hedge_time
+            )
 
     def _refuse_if_unavailable(self) -> bool:
         """Refuse the request if too many shards are already unavailable."""
@@ -72,18 +76,15 @@
         self._refuse(503, text, UNAVAILABLE_RETRY_AFTER_S)
         return True
 
-    def _schedule_hedging(self) -> None:
+    def _plan(self) -> request_timing.GatherTimes:
         outbound = self.outbound
-        self._times = request_timing.plan_gather(
+        return request_timing.plan_gather(
             outbound.received_at_ms,
             outbound.deadline_at_ms,
             outbound.route.target_ms,
             self.dispatcher.latency_estimate(outbound.route).hedge_delay.value,
             self.exchange.request.first_on_connection,
         )
-        self._schedule(
-            self._times.first_hedge_at_ms, self._on_first_hedge_time
-        )
 
     def _is_valid_part(self, response: messages.Response) -> bool:
         names = self.dispatcher.header_names
--- a/packages/tier/src/godwitflow/tier/single_handler.py
+++ b/packages/tier/src/godwitflow/tier/single_handler.py
@@ -22,6 +22,7 @@
             service,
             self._is_acceptable,
             self._on_result,
+            self._give_up_at_ms(),
         )
         self._subrequest.start()
         if self.finished:
--- a/packages/tier/src/godwitflow/tier/subrequest.py
+++ b/packages/tier/src/godwitflow/tier/subrequest.py
@@ -35,8 +35,9 @@
     ``is_acceptable`` decides whether a response ends the subrequest.
     After any other response another upstream is tried; if none of them
     sends an acceptable response, the result is the first response, if
-    any, that was not a rejection. With ``skip_unavailable`` nothing is
-    sent to a service that is unavailable.
+    any, that was not a rejection. A response is most useful until
+    ``useful_until_ms``. With ``skip_unavailable`` nothing is sent to a
+    service that is unavailable.
     """
 
     def __init__(
@@ -46,6 +47,7 @@
         service: ids.ServiceName,
         is_acceptable: typing.Callable[[messages.Response], bool],
         on_result: typing.Callable[["Subrequest", results.Result], None],
+        useful_until_ms: float,
         skip_unavailable: bool = False,
     ) -> None:
         self.dispatcher = dispatcher
@@ -58,6 +60,7 @@
         self.queued = False
         self._is_acceptable = is_acceptable
         self._on_result = on_result
+        self._useful_until_ms = useful_until_ms
         self._skip_unavailable = skip_unavailable
         self._latency = dispatcher.latency_estimate(outbound.route)
         self._tried: set[ids.UpstreamId] = set()
@@ -108,7 +111,8 @@
     def _eligible_upstreams(self) -> list[services.Upstream]:
         """Return the untried upstreams that a call may be made to.
 
-        After a denied permit, limited upstreams are the last choice.
+        After a denied permit, limited upstreams are the last choice. The
+        others take over their calls only as far as they have room.
         """
         now_ms = self.dispatcher.now_ms()
         untried = self.dispatcher.untried_upstreams(self.service, self._tried)
@@ -117,11 +121,34 @@
             for upstream in untried
             if not upstream.denied(self.outbound.urgent, now_ms)
         ]
+        if self._permit_denied or len(permitted) < len(untried):
+            permitted = [
+                upstream
+                for upstream in permitted
+                if upstream.limited or self._has_room(upstream, now_ms)
+            ]
         if untried and not permitted:
             self._reason = results.NoResponseReason.RATE_LIMITED
         unlimited = [item for item in permitted if not item.limited]
         return (self._permit_denied and unlimited) or permitted
 
+    def _has_room(self, upstream: services.Upstream, now_ms: float) -> bool:
+        """Return whether an upstream is likely to answer in time.
+
+        Urgent calls are few and short, and always sent.
+        """
+        if self.outbound.urgent:
+            return True
+        end_at_ms = self._useful_until_ms
+        if now_ms >= end_at_ms:
+            end_at_ms = self.outbound.deadline_at_ms
+        return upstream.health.has_room(
+            now_ms,
+            self._latency.median.value,
+            end_at_ms - now_ms,
+            self.dispatcher.random.random(),
+        )
+
     def _try_send(self, eligible: list[services.Upstream]) -> bool:
         """Send to one of the upstreams, or ask for a permit to do so.
 
--- a/packages/tier/tests/fleet.py
+++ b/packages/tier/tests/fleet.py
@@ -68,6 +68,15 @@
         ]
         return len(served) / len(self.callers)
 
+    def complete_share(self):
+        """Return the share of the queries so far that got all parts."""
+        complete = [
+            caller
+            for caller in self.callers
+            if simulation.find_header(caller.response, b"x-missing") == b"0"
+        ]
+        return len(complete) / len(self.callers)
+
 
 def most_arrivals(upstream, window_ms, from_ms):
     """Return the most requests that arrived in any window of this length.
--- a/packages/tier/tests/simulated_upstreams.py
+++ b/packages/tier/tests/simulated_upstreams.py
@@ -36,6 +36,9 @@
 class Upstream:
     """An upstream that responds after ``latency_ms``.
 
+    With ``slots`` it executes as many requests at the same time, and
+    queues the others.
+
     ``executions`` holds the requests that it executed; ``rejected`` and
     ``cancelled`` count requests. ``arrived_at_ms`` holds the times at
     which requests arrived. ``rate_limits`` are the values of the header
@@ -56,11 +59,25 @@
     rate_limits: tuple = ()
     started_at_ms: int = 1
     transports: list = dataclasses.field(default_factory=list)
+    slots: int = 0
+    slots_free_at_ms: list = dataclasses.field(default_factory=list)
 
     @property
     def connection_count(self):
         return sum(transport.open for transport in self.transports)
 
+    def wait_ms(self, now_ms):
+        """Return the time until a request that arrives now is answered."""
+        if not self.slots:
+            return self.latency_ms
+        free_at_ms = sorted(self.slots_free_at_ms)[-self.slots :]
+        start_at_ms = now_ms
+        if len(free_at_ms) == self.slots:
+            start_at_ms = max(now_ms, free_at_ms.pop(0))
+        end_at_ms = start_at_ms + self.latency_ms
+        self.slots_free_at_ms = [*free_at_ms, end_at_ms]
+        return end_at_ms - now_ms
+
     def registration(self):
         return registrations.Registration(
             ids.UpstreamId(self.name),
@@ -99,9 +116,10 @@
 
     def _on_request(self, data):
         upstream = self.upstream
-        upstream.arrived_at_ms.append(self.reactor.seconds() * 1_000.0)
+        now_ms = self.reactor.seconds() * 1_000.0
+        upstream.arrived_at_ms.append(now_ms)
         request = parse_request(data)
-        wait_s = upstream.latency_ms / 1_000.0
+        wait_s = upstream.wait_ms(now_ms) / 1_000.0
         match upstream.mode:
             case Mode.REJECT:
                 upstream.rejected += 1
--- a/packages/tier/tests/test_fleet_rate_limit.py
+++ b/packages/tier/tests/test_fleet_rate_limit.py
@@ -132,6 +132,24 @@
         fleet.run(12_000.0, 60.0)
         self.assert_within_limit(limited, 10.0, from_ms)
 
+    def test_last_replica_without_a_limit_is_not_overloaded(self):
+        """It serves 133 of the 200 calls a second, and most of them in time.
+
+        The parts that it has no room for are left out.
+        """
+        fleet = fleets.Fleet(nodes=9, replicas=3, shards=4)
+        for upstream in fleet.reactor.upstreams.values():
+            upstream.latency_ms = 15.0
+            upstream.slots = 2
+        state_limit(fleet.services["s0"][:2], 5.0)
+        fleet.run(3_000.0, 100.0, b"/all/x")
+        fleet.callers.clear()
+        fleet.run(6_000.0, 200.0, b"/all/x")
+        fleet.run(1_000.0, 0.0)
+        self.assertEqual(1.0, fleet.served_share())
+        attainable = (133.0 + 2 * 5.0) / 200.0
+        self.assertGreater(fleet.complete_share(), 0.75 * attainable)
+
     def test_end_of_the_limit_is_heard_by_all_nodes(self):
         fleet, limited, _ = self.play()
         fleet.run(8_000.0, 90.0)
