Let upstreams of the soak state rate limits, and check one

What callers saw: nothing. The soak had no upstream that states a limit, so real nodes on real sockets were never asked to keep one. Change: a fault that states a limit, readable or not, and in each run with bounds a limit of 2 calls/s for an upstream of a shard, checked in the 6 s of calm after the faults by what reached it.

--- a/packages/soak/src/godwitflow/soak/faults.py
+++ b/packages/soak/src/godwitflow/soak/faults.py
@@ -26,6 +26,8 @@
     signal.SIGHUP,
     signal.SIGTERM,
 )
+# Some of them are no limits.
+RATE_LIMITS = ("20", "4", "0.5", "0", "-1", "ten", "", "1e9")
 STORE_FAULTS = tuple(
     fault
     for fault in fake_store.StoreFault
@@ -59,6 +61,7 @@
         _signal_node,
         _signal_node,
         _change_configuration,
+        _limit_upstream,
     )
     return rng.choice(injectors)(deployment, rng)
 
@@ -77,6 +80,19 @@
     return ActiveFault(f"{upstream.name} {upstream.fault.value}", undo)
 
 
+def _limit_upstream(
+    deployment: deployments.Deployment, rng: random.Random
+) -> ActiveFault:
+    registered = rng.choice(list(deployment.upstreams.values()))
+    upstream = registered.upstream
+    upstream.rate_limit = rng.choice(RATE_LIMITS)
+
+    def undo() -> None:
+        upstream.rate_limit = None
+
+    return ActiveFault(f"{upstream.name} limit {upstream.rate_limit!r}", undo)
+
+
 def _disturb_upstream_link(
     deployment: deployments.Deployment, rng: random.Random
 ) -> ActiveFault:
--- a/packages/soak/src/godwitflow/soak/history.py
+++ b/packages/soak/src/godwitflow/soak/history.py
@@ -64,6 +64,26 @@
         """Record a request that reached an upstream."""
         self.arrivals.append(arrival)
 
+    def most_arrivals(
+        self, upstream: str, window_s: float, from_s: float
+    ) -> int:
+        """Return the most requests that reached an upstream in a window.
+
+        Only those that arrived after ``from_s`` are counted.
+        """
+        times = [
+            arrival.at_s
+            for arrival in self.arrivals
+            if arrival.upstream == upstream and arrival.at_s > from_s
+        ]
+        return max(
+            (
+                sum(start_s <= at_s <= start_s + window_s for at_s in times)
+                for start_s in times
+            ),
+            default=0,
+        )
+
     def check(self) -> list[str]:
         """Return one line for each violation of a guarantee."""
         runs: dict[str, list[fake_upstream.Arrival]] = collections.defaultdict(
--- a/packages/soak/src/godwitflow/soak/main.py
+++ b/packages/soak/src/godwitflow/soak/main.py
@@ -30,6 +30,10 @@
 STOP_TIMEOUT_S = 60.0
 MIN_SERVED_SHARE = 0.95
 CALLER_COUNT = 8
+LIMIT_CALLS_PER_S = 2.0
+LIMIT_WINDOW_S = 4.0
+LIMIT_FACTOR = 1.5
+LIMIT_EXTRA_CALLS = 5
 SUCCESS_STATUSES = range(200, 300)
 
 app = cyclopts.App(
@@ -114,14 +118,42 @@
             [caller.run() for caller in self._callers]
         )
         await self._inject_faults()
+        limited = self._limit_a_shard()
         await self._sleep(SETTLE_S)
         await self._wait_until_ready()
+        settled_s = self._reactor.seconds()
         await self._run_without_faults()
+        if self._bounds:
+            self._check_rate_limit(limited, settled_s)
         await self._stop_nodes()
         for caller in self._callers:
             caller.stopped = True
         await running
 
+    def _limit_a_shard(self) -> str:
+        """Have an upstream of a shard state a limit; return its name."""
+        shard = self._deployment.history.shards[0]
+        upstream = next(
+            registered.upstream
+            for registered in self._deployment.upstreams.values()
+            if registered.upstream.service == shard
+        )
+        upstream.rate_limit = f"{LIMIT_CALLS_PER_S:g}"
+        return upstream.name
+
+    def _check_rate_limit(self, limited: str, from_s: float) -> None:
+        calls = self._deployment.history.most_arrivals(
+            limited, LIMIT_WINDOW_S, from_s
+        )
+        allowed = (
+            LIMIT_FACTOR * LIMIT_CALLS_PER_S * LIMIT_WINDOW_S
+            + LIMIT_EXTRA_CALLS
+        )
+        if calls > allowed:
+            self._add_problem(
+                f"rate limit: {limited} got {calls} calls, {allowed:g} allowed"
+            )
+
     async def _sleep(self, seconds: float) -> None:
         await task.deferLater(self._reactor, seconds)
 
--- a/packages/soak/tests/test_history.py
+++ b/packages/soak/tests/test_history.py
@@ -35,6 +35,17 @@
     return fake_upstream.Arrival(**fields)
 
 
+class ArrivalsTest(unittest.TestCase):
+    def test_most_arrivals_in_a_window_are_counted(self):
+        history = histories.History(SHARDS)
+        record = request_record(Kind.IDEMPOTENT)
+        for at_s in (0.5, 1.0, 2.0, 2.5, 3.0, 9.0):
+            history.record_arrival(arrival(record, at_s=at_s))
+        history.record_arrival(arrival(record, upstream="ub", at_s=2.1))
+        self.assertEqual(3, history.most_arrivals("ua", 1.5, 1.5))
+        self.assertEqual(0, history.most_arrivals("uc", 1.5, 0.0))
+
+
 def gathered(request="r1", **changes):
     records = [
         record
