--- a/packages/policy/tests/test_rate_limits.py
+++ b/packages/policy/tests/test_rate_limits.py
@@ -1,7 +1,11 @@
 """Tests of the rate limits that upstreams state."""
 
+import math
 import unittest
 
+import hypothesis
+from hypothesis import strategies
+
 from godwitflow.model import ids
 from godwitflow.policy import rate_limits
 
@@ -55,6 +59,31 @@
             rate_limits.read_statement([b"0"]),
         )
 
+    @hypothesis.settings(derandomize=True, deadline=None)
+    @hypothesis.given(
+        strategies.lists(
+            strategies.one_of(
+                strategies.binary(max_size=40),
+                strategies.from_regex(rb"[ 0-9.,eE+-]*", fullmatch=True),
+            ),
+            min_size=1,
+            max_size=3,
+        )
+    )
+    def test_any_values_are_a_usable_limit_or_unreadable(self, values):
+        match rate_limits.read_statement(values):
+            case rate_limits.Stated(calls_per_s):
+                self.assertTrue(math.isfinite(calls_per_s))
+                self.assertGreaterEqual(
+                    calls_per_s, rate_limits.MIN_CALLS_PER_S
+                )
+            case rate_limits.Unreadable(text):
+                self.assertLessEqual(
+                    len(text), rate_limits.MAX_STATEMENT_BYTES
+                )
+            case other:
+                self.fail(f"{other}")
+
 
 class KnownLimitTest(unittest.TestCase):
     def test_old_news_does_not_replace_newer_news(self):
@@ -64,6 +93,15 @@
         self.assertFalse(limit.apply(news(8.0, 1_500.0), 2_100.0))
         self.assertIsNone(limit.calls_per_s)
 
+    @hypothesis.settings(derandomize=True, deadline=None)
+    @hypothesis.given(strategies.permutations(range(5)))
+    def test_latest_news_wins_in_any_order(self, order):
+        values = (8.0, None, 4.0, None, 16.0)
+        limit = rate_limits.KnownLimit()
+        for index in order:
+            limit.apply(news(values[index], 100.0 * index), 1_000.0)
+        self.assertEqual(16.0, limit.calls_per_s)
+
     def test_news_from_the_future_is_replaced_by_the_next(self):
         limit = rate_limits.KnownLimit()
         limit.apply(news(8.0, 90_000.0), 1_000.0)
