--- a/packages/tier/tests/fleet.py
+++ b/packages/tier/tests/fleet.py
@@ -16,19 +16,16 @@
         self.reactor = simulated_upstreams.SimulatedReactor()
         self.reactor.advance(1_000.0)
         self._options = options
-        self.nodes = [
-            self._add_node(f"n{number}", options) for number in range(nodes)
-        ]
+        self.nodes = [self._new_node(f"n{number}") for number in range(nodes)]
         for node in self.nodes:
             node.dispatcher.apply_node_count(nodes)
         self.services = self.reactor.services
         self.callers = []
 
-    def _add_node(self, name, options):
-        node = simulation.Simulation(
-            node=name, reactor=self.reactor, **options
+    def _new_node(self, name):
+        return simulation.Simulation(
+            node=name, reactor=self.reactor, **self._options
         )
-        return node
 
     def remove(self, node):
         """Kill a node; its peers notice at once."""
@@ -40,7 +37,7 @@
         """Replace a node by one that knows nothing yet."""
         old = next(node for node in self.nodes if node.node == name)
         self.nodes.remove(old)
-        self.nodes.append(self._add_node(name, self._options))
+        self.nodes.append(self._new_node(name))
         self.members_changed()
 
     def members_changed(self):
--- a/packages/tier/tests/simulation.py
+++ b/packages/tier/tests/simulation.py
@@ -82,12 +82,12 @@
         receiver = self.reactor.nodes[node]
         if receiver.frozen or self.node in receiver.members.unreachable:
             return
-        handlers = receiver.dispatcher.permits
+        receiver_permits = receiver.dispatcher.permits
         match message:
             case wire_messages.PermitRequest():
-                handlers.on_request(self.node, message)
+                receiver_permits.on_request(self.node, message)
             case wire_messages.PermitReply():
-                handlers.on_reply(self.node, message)
+                receiver_permits.on_reply(self.node, message)
             case wire_messages.LimitReports():
                 receiver.exchange.on_limit_reports(self.node, message)
             case wire_messages.UpstreamReports():
