--- a/packages/tier/src/godwitflow/tier/subrequest.py
+++ b/packages/tier/src/godwitflow/tier/subrequest.py
@@ -176,6 +176,11 @@
         kind: limit_watch.CallKind,
         issued: bool,
     ) -> None:
+        """Send the call that a permit was asked for, or another one.
+
+        If other calls are in flight, only a hedge is sent elsewhere: its
+        retry budget has been charged.
+        """
         self._awaiting_permit -= 1
         self._tried.discard(upstream.name)
         if self.result is not None:
@@ -190,7 +195,7 @@
         if not self._may_resend():
             self._finish_if_idle()
         elif waiting:
-            self._send_hedge(self._upstreams_with_room())
+            self._send_hedge(self._eligible_with_capacity())
         else:
             self._send_or_enqueue()
 
@@ -277,7 +282,7 @@
             return False
         if require_headroom and not self._has_budget_headroom():
             return False
-        eligible = self._upstreams_with_room()
+        eligible = self._eligible_with_capacity()
         if not eligible or not self._try_acquire_budget():
             return False
         self.dispatcher.record_repeated_call(
@@ -285,7 +290,7 @@
         )
         return self._send_hedge(eligible)
 
-    def _upstreams_with_room(self) -> list[services.Upstream]:
+    def _eligible_with_capacity(self) -> list[services.Upstream]:
         return [
             upstream
             for upstream in self._eligible_upstreams()
