--- a/packages/tier/tests/test_fleet_rate_limit.py
+++ b/packages/tier/tests/test_fleet_rate_limit.py
@@ -87,6 +87,25 @@
         fleet.run(8_000.0, 90.0)
         self.assert_within_limit(limited, 10.0, from_ms)
 
+    def test_two_issuers_by_views_that_differ_for_a_second(self):
+        fleet, limited, from_ms = self.play()
+        fleet.run(6_000.0, 90.0)
+        issuer = self._issuer(fleet)
+        others = [node for node in fleet.nodes if node is not issuer]
+        ranking = permits.rank_issuers(
+            [node.node for node in others], permits.group_of("one")
+        )
+        others.sort(key=lambda node: ranking.index(node.node))
+        for node in others[:5]:
+            node.members.dead = {issuer.node}
+        fleet.members_changed()
+        fleet.run(1_000.0, 90.0)
+        for node in others:
+            node.members.dead = set()
+        fleet.members_changed()
+        fleet.run(4_000.0, 90.0)
+        self.assert_within_limit(limited, 10.0, from_ms)
+
     def test_halves_of_a_split_fleet_together_keep_to_the_limit(self):
         fleet, limited, from_ms = self.play(nodes=8)
         fleet.run(5_000.0, 90.0)
