Time the rounds of reports in one place

LimitWatch kept a second timer of 400 ms behind that of HealthExchange, its only caller. Reports leave as before: test_fleet_rate_limit, test_limit_watch and test_health_exchange pass unchanged.

--- a/packages/tier/src/godwitflow/tier/limit_watch.py
+++ b/packages/tier/src/godwitflow/tier/limit_watch.py
@@ -17,7 +17,6 @@
 
 SUMMARY_INTERVAL_MS = 1_000.0
 UNREADABLE_INTERVAL_MS = 10_000.0
-ROUND_MS = 400.0
 REPEAT_REPORT_MS = 2_000.0
 MAX_REPORTS_PER_ROUND = 16
 
@@ -49,7 +48,6 @@
         self._calls: dict[ids.UpstreamId, collections.Counter[str]] = {}
         self._next_summary_ms = 0.0
         self._next_unreadable_ms = 0.0
-        self._next_round_ms = 0.0
         self._to_report: dict[ids.UpstreamId, services.Upstream] = {}
         self._reported_at_ms: dict[ids.UpstreamId, float] = {}
 
@@ -147,9 +145,6 @@
         unchanged limit is repeated from time to time by the nodes that
         still hear it from the upstream.
         """
-        if now_ms < self._next_round_ms:
-            return []
-        self._next_round_ms = now_ms + ROUND_MS
         reports: list[tuple[services.Upstream, rate_limits.LimitNews]] = []
         while self._to_report and len(reports) < MAX_REPORTS_PER_ROUND:
             name, upstream = self._to_report.popitem()
