--- a/packages/tier/tests/test_peer_protocol.py
+++ b/packages/tier/tests/test_peer_protocol.py
@@ -39,6 +39,18 @@
         return messages.Revisions(())
 
 
+class RecordingHandler(IgnoringHandler):
+    """Records what it receives about rate limits."""
+
+    def __init__(self):
+        self.received = []
+
+    def on_limit_reports(self, sender, message):
+        self.received.append((sender, message))
+
+    on_permit_request = on_permit_reply = on_limit_reports
+
+
 class Transport:
     """Delivers datagrams to the other nodes of a fleet."""
 
@@ -72,7 +84,7 @@
         for number, address in enumerate(self.addresses):
             self.by_address[address] = self.new_node(number, address)
 
-    def new_node(self, number, address, seeds=None):
+    def new_node(self, number, address, seeds=None, handler=None):
         domain = ids.FailureDomain(f"domain-{number % 4}")
         me = messages.MemberUpdate(
             ids.NodeId(f"front-domain-{number % 4}-{number}"),
@@ -88,7 +100,7 @@
             self.addresses[:SEED_COUNT] if seeds is None else seeds,
             lambda: self.clock.seconds() * 1_000.0,
             simulation.RecordingLog(),
-            IgnoringHandler(),
+            handler or IgnoringHandler(),
             number,
             traffic.Traffic(domain),
         )
@@ -179,3 +191,32 @@
         for node in fleet.by_address.values():
             ready = {member.node for member in node.ready()}
             self.assertNotIn(leaving.membership.me.node, ready)
+
+
+class RateLimitMessagesTest(unittest.TestCase):
+    def test_messages_about_rate_limits_reach_the_handler_unchanged(self):
+        fleet = Fleet(2)
+        handler = RecordingHandler()
+        address = "10.0.9.9:7740"
+        receiver = fleet.new_node(99, address, handler=handler)
+        fleet.by_address[address] = receiver
+        fleet.advance(2.0)
+        sender = fleet.by_address[fleet.addresses[0]]
+        upstream = ids.UpstreamId("u")
+        want = messages.PermitWant(7, upstream, 1_791, True, 16.4, 3.5)
+        denied = messages.PermitAnswer(7, False, 20.0, 16.4, 3.5)
+        issued = messages.PermitAnswer(8, True, 0.0)
+        ended = messages.LimitReport(upstream, 1_791, None, 3.5)
+        sent = [
+            messages.PermitRequest(False, (want, want)),
+            messages.PermitRequest(True, (want,)),
+            messages.PermitReply((denied, issued)),
+            messages.LimitReports((ended,)),
+        ]
+        for message in sent:
+            sender.send_to([receiver.membership.me.node], message)
+        fleet.advance(0.2)
+        name = sender.membership.me.node
+        self.assertEqual(
+            [(name, message) for message in sent], handler.received
+        )
