--- a/review/standins/platform_standins.py
+++ b/review/standins/platform_standins.py
@@ -98,14 +98,31 @@
         self.events = []
         self.address = ""
         self._changed = asyncio.Event()
-        self._tasks = set()
+        self.silent_to = set()
+        self.watching = {}
 
     async def start(self):
-        self._server = await asyncio.start_server(
-            self._serve, "127.0.0.1", 0, limit=4_000_000
+        self.address = await self.listen("")
+
+    async def listen(self, machine):
+        """Return an address that only one machine is given."""
+
+        async def serve(reader, writer):
+            await self._serve(machine, reader, writer)
+
+        server = await asyncio.start_server(
+            serve, "127.0.0.1", 0, limit=4_000_000
         )
-        host, port = self._server.sockets[0].getsockname()
-        self.address = f"{host}:{port}"
+        host, port = server.sockets[0].getsockname()
+        return f"{host}:{port}"
+
+    def readers(self, kind):
+        """Return the machines that wait for changes of a kind."""
+        return {
+            machine
+            for (machine, watched), count in self.watching.items()
+            if watched == kind and count
+        }
 
     def _meta(self, name, revision):
         return {
@@ -150,14 +167,26 @@
         changed, self._changed = self._changed, asyncio.Event()
         changed.set()
 
-    async def _serve(self, reader, writer):
+    async def _serve(self, machine, reader, writer):
+        lost = False
         try:
             while (head := await read_head(reader)) is not None:
                 line, headers = head
                 length = int(headers.get("content-length", "0"))
                 body = await reader.readexactly(length) if length else b""
                 method, target, _ = line.split(" ")
+                lost = lost or machine in self.silent_to
+                if lost:
+                    continue
+                kind = target.partition("?")[0].split("/")[2]
+                watch = (machine, kind)
+                count = self.watching.get(watch, 0)
+                self.watching[watch] = count + ("watch=" in target)
                 status, answer = await self._answer(method, target, body)
+                self.watching[watch] = count
+                if machine in self.silent_to:
+                    lost = True
+                    continue
                 kind = {"Content-Type": "application/json"}
                 writer.write(response(status, kind, answer))
                 await writer.drain()
@@ -329,6 +358,7 @@
         self.ip = f"127.0.0.{2 + index}"
         self.zone = ("east", "west")[index % 2]
         self.ports = {}
+        self.store_address = ""
         self.ends = []
         self.process = None
         self._restart = True
@@ -376,7 +406,7 @@
             "heartbeatMs": 1200,
             "bounds": BOUNDS,
             "platform": {
-                "address": self.system.store.address,
+                "address": self.store_address or self.system.store.address,
                 "form": "objects",
                 "writesPerS": 400,
                 "readsPerS": 2000,
