--- a/review/2/case.py
+++ b/review/2/case.py
@@ -5,7 +5,9 @@
 """
 
 import asyncio
+import functools
 import pathlib
+import random
 import sys
 
 FOLDER = pathlib.Path(__file__).resolve().parent
@@ -15,9 +17,12 @@
 import platform_standins as platform  # noqa: E402
 
 STABLE_S = platform.BOUNDS["stableWindowMs"] / 1000
-TROUBLE_S = 75.0
-KILLS_PER_MACHINE = 3
-MACHINES = 2
+FAULTY = ("i-0", "i-1")  # of four
+FAULTY_X = 0.05  # of their answers
+EPISODES = 6
+EPISODE_S = 5.0
+CALM_S = 6.0
+LOST_ALLOWED = 3
 WORKERS = 10
 PIECES = b"2\r\nab\r\n" * 4_000
 
@@ -32,7 +37,7 @@
 
 
 async def play(system, record, trouble):
-    for number in range(3):
+    for number in range(4):
         await system.add_backend(
             f"i-{number}", "archives", work_ms=135.0
         )
@@ -47,37 +52,65 @@
     kills = {node.name: 0 for node in system.nodes}
     peaks = {node.name: 0.0 for node in system.nodes}
     answers = {}
+    cut = []
+    draw = random.Random()
     tasks = [
         asyncio.ensure_future(limit_memory(node, record, kills, peaks))
         for node in system.nodes
     ]
     tasks += [
-        asyncio.ensure_future(call(node, worker, record, answers))
+        asyncio.ensure_future(call(node, worker, record, answers, cut))
         for node in system.nodes
         for worker in range(WORKERS)
     ]
-    if trouble:
-        system.backends["i-0"].handle = endless
-        record.say("backend i-0 sends bodies without end")
-    until = record.now() + TROUBLE_S
-    while record.now() < until:
-        await asyncio.sleep(0.5)
-        over = [count for count in kills.values()
-                if count >= KILLS_PER_MACHINE]
-        if len(over) >= MACHINES:
+    for _ in range(EPISODES):
+        if trouble:
+            spoil(system, draw)
+            record.say(f"{FAULTY} spoil {FAULTY_X} of their answers")
+        await asyncio.sleep(EPISODE_S)
+        spoil(system, None)
+        await asyncio.sleep(CALM_S)
+        lost = lost_requests(system, cut)
+        if len(lost) > LOST_ALLOWED:
             break
     for task in tasks:
         task.cancel()
     record.say(f"answers by status: {dict(sorted(answers.items()))}")
-    record.say(f"highest resident memory, MB: {peaks}")
+    record.say(f"highest private memory, MB: {peaks}")
     record.say(f"ends for memory over {platform.MEMORY_MB} MB: {kills}")
     if not answers.get("200"):
         raise RuntimeError("nothing was served")
-    return len(over) >= MACHINES
-
-
-async def endless(line, headers, reader, writer):
-    """Begin an answer in chunks and send on until the caller closes."""
+    record.say(f"{len(lost)} requests from kept connections were passed on to "
+               f"a sound backend and never answered: {lost}")
+    return len(lost) > LOST_ALLOWED
+
+
+def lost_requests(system, cut):
+    """Return the unanswered requests that sound backends ran."""
+    ran = {
+        request
+        for name, backend in system.backends.items()
+        if name not in FAULTY
+        for _, request, executed in backend.arrivals
+        if executed
+    }
+    return [request for request in cut if request in ran]
+
+
+def spoil(system, draw):
+    """Let the faulty backends spoil answers, or none without ``draw``."""
+    for name in FAULTY:
+        backend = system.backends[name]
+        backend.handle = draw and functools.partial(answer, backend, draw)
+
+
+async def answer(backend, draw, line, headers, reader, writer):
+    """Answer, or begin a body in chunks that goes on until it is closed."""
+    await asyncio.sleep(backend.work_ms / 1000)
+    if draw.random() >= FAULTY_X:
+        writer.write(backend.answer(headers))
+        return
+    backend.record.write(f"backend {backend.name} sends a body without end")
     writer.write(
         b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
     )
@@ -93,21 +126,22 @@
         await asyncio.sleep(0.1)
         if node.process.poll() is not None:
             continue
-        resident_mb = node.resident_mb()
-        peaks[node.name] = max(peaks[node.name], round(resident_mb))
-        if resident_mb > platform.MEMORY_MB:
+        private_mb = node.private_mb()
+        peaks[node.name] = max(peaks[node.name], round(private_mb))
+        if private_mb > platform.MEMORY_MB:
             kills[node.name] += 1
-            record.write(f"node {node.name} takes {resident_mb:.0f} MB")
+            record.write(f"node {node.name} takes {private_mb:.0f} MB")
             node.process.kill()
             await asyncio.sleep(0.2)
 
 
-async def call(node, worker, record, answers):
+async def call(node, worker, record, answers, cut):
     """Send requests one after the other, on a kept connection if it holds."""
     client = None
     for number in range(1_000_000):
         request = f"{node.index}{worker:02x}{number:05x}"
         headers = {"Request-Id": request, "Deadline-Ms": "6000"}
+        kept = client is not None
         try:
             client = client or platform.Client(node.ip, node.ports["front"])
             record.write(f"requester sends {request} to {node.name}")
@@ -118,6 +152,8 @@
         except (OSError, EOFError) as error:
             outcome = type(error).__name__
             client = None
+            if kept:
+                cut.append(request)
         answers[outcome] = answers.get(outcome, 0) + 1
         record.write(f"requester got {outcome} for {request}")
         await asyncio.sleep(0.2)
