--- a/packages/http1/src/godwitflow/http1/callers.py
+++ b/packages/http1/src/godwitflow/http1/callers.py
@@ -123,7 +123,7 @@
     def _reset_message(self) -> None:
         self._target = b""
         self._headers: messages.Headers = []
-        self._body: list[bytes] | None = None
+        self._body: bytearray | None = None
         self._body_bytes = 0
         self._headers_complete = False
         self._header_bytes = 0
@@ -204,7 +204,7 @@
             self._reject(400, "the transfer coding is not supported")
             return
         if length is not None or coding is not None:
-            self._body = []
+            self._body = bytearray()
         expect = messages.find_header(self._headers, b"expect")
         if expect is not None and expect.lower() == b"100-continue":
             if self._exchange is None and not self._queue:
@@ -219,13 +219,13 @@
         if self._body_bytes > limit:
             self._reject(413, f"the body exceeds {limit} bytes")
             return
-        self._body.append(body)
+        self._body += body
 
     def on_message_complete(self) -> None:
         """Queue a complete request."""
         if self._error_response is not None:
             return
-        body = None if self._body is None else b"".join(self._body)
+        body = None if self._body is None else bytes(self._body)
         request = messages.Request(
             self._parser.get_method(),
             self._target,
--- a/packages/http1/src/godwitflow/http1/upstreams.py
+++ b/packages/http1/src/godwitflow/http1/upstreams.py
@@ -7,7 +7,8 @@
 connection, after the response to the current request if there is one. A
 connection in an uncertain state is closed rather than reused.
 
-A response whose head or body does not end is dropped at a size limit.
+A response whose head or body does not end is dropped at a size limit, and
+one that is mostly framing, such as chunks of two bytes, at a lower one.
 """
 
 import dataclasses
@@ -25,6 +26,8 @@
 
 MAX_RESPONSE_BYTES = 16_777_216  # head, body, framing, interim responses
 MAX_HEAD_BYTES = 65_536  # including interim responses
+MAX_HEADERS = 512
+MAX_OVERHEAD_BYTES = 262_144  # head and framing in excess of the body
 KEEP_ALIVE_MARGIN_MS = 400.0  # subtracted from the stated timeout
 DEFAULT_KEEP_ALIVE_MS = 500.0
 LARGE_REQUEST_BYTES = 32_768  # connections that sent more are not reused
@@ -145,7 +148,7 @@
     def _reset_message(self) -> None:
         self._reason = b""
         self._headers: messages.Headers = []
-        self._body: list[bytes] = []
+        self._body = bytearray()
         self.owner.receive_memory.release(self._body_bytes)
         self._body_bytes = 0
         self._in_message = False
@@ -261,8 +264,14 @@
             return True
         if self.owner.receive_memory.must_drop(self._body_bytes):
             return True
-        head_bytes = self._received_bytes - self._head_start_bytes
-        return not self._headers_complete and head_bytes > MAX_HEAD_BYTES
+        message_bytes = self._received_bytes - self._head_start_bytes
+        if not self._headers_complete:
+            return (
+                message_bytes > MAX_HEAD_BYTES
+                or len(self._headers) > MAX_HEADERS
+            )
+        overhead_bytes = message_bytes - self._body_bytes
+        return overhead_bytes - self._body_bytes > MAX_OVERHEAD_BYTES
 
     def _abort(self, reason: FailureReason) -> None:
         self.closed = True
@@ -309,7 +318,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Append to the body."""
-        self._body.append(body)
+        self._body += body
         self._body_bytes += len(body)
         self.owner.receive_memory.hold(len(body))
 
@@ -320,7 +329,7 @@
 
     def _complete_message(self) -> None:
         response = messages.Response(
-            self._status, self._reason, self._headers, b"".join(self._body)
+            self._status, self._reason, self._headers, bytes(self._body)
         )
         keep = self._framed and self._parser_keeps_alive()
         if self._status >= 200:
--- a/packages/http1/tests/test_callers.py
+++ b/packages/http1/tests/test_callers.py
@@ -1,5 +1,6 @@
 """Tests of the server side of a caller's connection."""
 
+import tracemalloc
 import unittest
 
 import hypothesis
@@ -182,6 +183,22 @@
         _, written = exchange_all(head, [])
         self.assertTrue(written.startswith(b"HTTP/1.1 413 "))
 
+    def test_chunks_of_one_byte_take_no_more_memory_than_was_received(self):
+        server = RecordingServer()
+        server.limits.body_bytes = 100_000
+        connection = connect(server)
+        connection.dataReceived(CHUNKED[: CHUNKED.index(b"3\r\n")])
+        data = b"1\r\na\r\n" * 40_000
+        tracemalloc.start()
+        try:
+            connection.dataReceived(data)
+            held_bytes, _ = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+        self.assertLess(held_bytes, len(data))
+        connection.dataReceived(b"0\r\n\r\n")
+        self.assertEqual(b"a" * 40_000, server.exchanges[0].request.body)
+
     def test_slow_headers_get_408_and_idle_connection_closes(self):
         server = RecordingServer()
         connection = connect(server)
--- a/packages/http1/tests/test_upstreams.py
+++ b/packages/http1/tests/test_upstreams.py
@@ -1,6 +1,7 @@
 """Tests of the client side of a connection to an upstream."""
 
 import doctest
+import tracemalloc
 import unittest
 
 import hypothesis
@@ -350,6 +351,45 @@
         self.assert_dropped(chunked + b"1;", b"a", limit)
         self.assert_dropped(chunked + b"0\r\nX-Filler: ", b"a", limit)
 
+    def test_chunks_of_two_bytes_take_no_more_memory_than_was_received(self):
+        # Kept one by one, such chunks took 25 times the size that was counted.
+        data = b"2\r\nab\r\n" * 40_000
+        pending = PendingCall()
+        pending.connection.dataReceived(
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        )
+        tracemalloc.start()
+        try:
+            pending.connection.dataReceived(data)
+            held_bytes, _ = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+        self.assertFalse(pending.connection.closed)
+        self.assertLess(held_bytes, len(data))
+
+    def test_body_that_is_mostly_framing_is_dropped_early(self):
+        limit = 4 * upstreams.MAX_OVERHEAD_BYTES
+        ok = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        self.assert_dropped(ok, b"2\r\nab\r\n", limit)
+        self.assert_dropped(ok, b"1;" + b"a" * 50 + b"\r\nb\r\n", limit)
+        self.assert_dropped(ok + b"0\r\n", b"X-Filler: 1\r\n", limit)
+
+    def test_head_of_very_many_headers_is_dropped(self):
+        limit = 8 * upstreams.MAX_HEADERS + self.CHUNK
+        self.assert_dropped(b"HTTP/1.1 200 OK\r\n", b"a:\r\n", limit)
+
+    def test_large_body_in_small_chunks_is_accepted(self):
+        chunks = 60_000
+        pending = PendingCall()
+        pending.connection.dataReceived(
+            b"HTTP/1.1 200 OK\r\nRequest-Id: 1\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n"
+        )
+        for _ in range(chunks // 1_000):
+            pending.connection.dataReceived(b"8\r\nabcdefgh\r\n" * 1_000)
+        pending.connection.dataReceived(b"0\r\n\r\n")
+        self.assertEqual([b"abcdefgh" * chunks], pending.bodies())
+
     def test_endless_bodies_share_the_memory_limit(self):
         memory_bytes = 1_048_576
         owner = RecordingOwner(memory_bytes)
