--- a/packages/policy/src/godwitflow/policy/store_watch.py
+++ b/packages/policy/src/godwitflow/policy/store_watch.py
@@ -2,9 +2,13 @@
 
 A few nodes, chosen by rendezvous hashing over the live members, watch the
 store and announce its changes to the others, so that the number of store
-calls does not grow with the fleet. A node that has not heard from a
-watcher for some time watches the store itself. Nodes do so one after
-another in the order of their rank, because one of them is enough.
+calls does not grow with the fleet.
+
+Only an answer of the store shows that a view of it is current; a watch that
+waits shows nothing. One watcher therefore asks for an answer about once a
+second and the others rely on it. When answers stop, other nodes watch the
+store themselves, one after another in the order of their rank, because one
+of them is enough.
 
 Announcements travel down a tree over the same ranking, so that no node
 sends to more than a few others in a fleet of any size. Each node in the
@@ -19,7 +23,11 @@
 
 WATCHER_COUNT = 3
 FAN_OUT = 8
-WATCHER_TIMEOUT_MS = 1_000.0
+WATCH_WAIT_MS = 8_000.0
+CONFIRM_WAIT_MS = 1_000.0
+# An answer, its announcement and their delays come within this time.
+WATCHER_TIMEOUT_MS = 1_900.0
+BEHIND_TIMEOUT_MS = 1_000.0
 STAGGER_MS = 120.0  # from one rank to the next
 
 
@@ -69,20 +77,39 @@
 
 
 def should_watch(
-    now_ms: float, own_rank: int, watcher_heard_at_ms: float, behind_ms: float
+    now_ms: float, own_rank: int, others_reached_at_ms: float, behind_ms: float
 ) -> bool:
     """Return whether the node with this rank watches the store itself.
 
-    ``watcher_heard_at_ms`` is when a watcher with a current view of the
-    store was last heard from. ``behind_ms`` is for how long peers have had
-    newer objects that this node could not fetch from them.
+    ``others_reached_at_ms`` is when the store last answered another node,
+    as far as that was announced. ``behind_ms`` is for how long peers have
+    had newer objects that this node could not fetch from them.
 
     >>> should_watch(5_000.0, 7, 4_500.0, 0.0)
     False
     >>> should_watch(7_000.0, 7, 4_500.0, 0.0)
     True
     """
-    if own_rank < WATCHER_COUNT or behind_ms > WATCHER_TIMEOUT_MS:
+    if own_rank < WATCHER_COUNT or behind_ms > BEHIND_TIMEOUT_MS:
         return True
-    overdue_ms = now_ms - watcher_heard_at_ms - WATCHER_TIMEOUT_MS
+    overdue_ms = now_ms - others_reached_at_ms - WATCHER_TIMEOUT_MS
     return overdue_ms > (own_rank - WATCHER_COUNT) * STAGGER_MS
+
+
+def watch_wait_ms(
+    now_ms: float, own_rank: int, others_reached_at_ms: float
+) -> float:
+    """Return how long a watch may wait before the store answers it.
+
+    The first watcher, and any node that watches without having heard that
+    the store answers another one, asks for an answer soon.
+
+    >>> watch_wait_ms(5_000.0, 0, 4_900.0), watch_wait_ms(5_000.0, 1, 4_900.0)
+    (1000.0, 8000.0)
+    >>> watch_wait_ms(7_000.0, 1, 4_900.0)
+    1000.0
+    """
+    silent_ms = now_ms - others_reached_at_ms
+    if own_rank == 0 or silent_ms > WATCHER_TIMEOUT_MS:
+        return CONFIRM_WAIT_MS
+    return WATCH_WAIT_MS
--- a/packages/store/src/godwitflow/store/memory_object_store.py
+++ b/packages/store/src/godwitflow/store/memory_object_store.py
@@ -1,27 +1,33 @@
 """An object store in memory for tests, with watches and injected failures."""
 
+import collections
 import typing
 
 from twisted.internet import defer
+from twisted.internet import task
 
 from godwitflow.model import errors
 from godwitflow.store import objects
 
 MS_PER_S = 1_000.0
+CALL_TIMEOUT_MS = 1_500.0
 
 
 class MemoryObjectStore:
     """Objects and their history; :meth:`client_for` returns an ObjectStore.
 
     ``should_reject`` is called with the client's name before each call;
-    if it returns true, the call fails without being applied.
+    if it returns true, the call fails without being applied. While
+    ``is_silent_to`` returns true for a client's name, its reads get no
+    response: they fail ``CALL_TIMEOUT_MS`` after they were due.
     """
 
     def __init__(self, clock: typing.Any) -> None:
         self.clock = clock
         self.revision = 1
-        self.calls = 0
+        self.calls_by_client: collections.Counter[str] = collections.Counter()
         self.should_reject: typing.Callable[[str], bool] = lambda client: False
+        self.is_silent_to: typing.Callable[[str], bool] = lambda client: False
         self._kinds: dict[str, dict[str, objects.Object]] = {}
         self._history: list[tuple[str, objects.Change]] = []
         self._history_after = 0  # changes up to here have been dropped
@@ -31,6 +37,11 @@
         """Return an ObjectStore for the client with this name."""
         return MemoryObjectClient(self, client)
 
+    @property
+    def calls(self) -> int:
+        """The number of calls of all clients."""
+        return self.calls_by_client.total()
+
     def drop_history(self) -> None:
         """Drop the history, so that watches from older revisions fail."""
         self._history.clear()
@@ -107,15 +118,25 @@
         self._client = client
 
     def _begin_call(self) -> None:
-        self._store.calls += 1
+        self._store.calls_by_client[self._client] += 1
         if self._store.should_reject(self._client):
             raise errors.StoreUnavailableError("rejected")
 
+    async def _check_silence(self, due_at_s: float) -> None:
+        """Let a call that was due at a time fail if the store is silent."""
+        if not self._store.is_silent_to(self._client):
+            return
+        clock = self._store.clock
+        fails_at_s = due_at_s + CALL_TIMEOUT_MS / MS_PER_S
+        await task.deferLater(clock, fails_at_s - clock.seconds())
+        raise errors.StoreUnavailableError("no response")
+
     async def list(
         self, kind: str, allow_stale: bool = False
     ) -> objects.Listing:
         """List the objects of a kind."""
         self._begin_call()
+        await self._check_silence(self._store.clock.seconds())
         return self._store.listing(kind)
 
     async def watch(
@@ -129,6 +150,7 @@
             changes = self._store.changes(kind, after_revision)
             left_ms = (deadline_s - clock.seconds()) * MS_PER_S
             if changes.changes or left_ms <= 0:
+                await self._check_silence(deadline_s)
                 return changes
             await self._store.wait_for_change(left_ms)
             if self._store.should_reject(self._client):
--- a/packages/tier/src/godwitflow/tier/follower.py
+++ b/packages/tier/src/godwitflow/tier/follower.py
@@ -1,9 +1,12 @@
 """Keeps a node's copy of one kind of store objects up to date.
 
 A node that is ranked as a watcher reads changes from the store. Other
-nodes fetch them from peers that announce a newer revision.
+nodes fetch them from peers that announce a newer revision. How current a
+copy is follows from the store's last answer, to this node or to a peer, and
+not from a watch that still waits.
 """
 
+import math
 import random
 import typing
 
@@ -17,9 +20,10 @@
 from godwitflow.tier import log as logs
 from godwitflow.wire import messages
 
-WATCH_WAIT_MS = 8_000.0
 FIRST_WATCH_WAIT_MS = 200.0  # short, to find out soon if the store is up
 BATCH_DELAY_MS = 250.0  # lets the next watch return a burst of changes
+# Every new revision of a copy is fetched by all peers, changed or not.
+REVISION_INTERVAL_MS = 8_000.0
 BACKOFF_MIN_MS = 150.0
 BACKOFF_MAX_MS = 800.0
 BACKOFF_PER_NODE_MS = 100.0
@@ -70,7 +74,7 @@
     """Keeps the copy of one kind up to date.
 
     ``in_sync`` is set while this node watches the store itself and its
-    last call to the store succeeded. The store is not listed before
+    last call to the store did not fail. The store is not listed before
     ``first_list_at_ms``, as the copy may come from a peer by then.
     """
 
@@ -82,10 +86,14 @@
         self._context = context
         self._kind = kind
         self._first_list_at_ms = first_list_at_ms
-        # When the store was last reached, by what watchers announced.
-        self._watcher_heard_at_ms = (
+        # When the store last answered this node, and another one.
+        self._reached_at_ms = -math.inf
+        self._others_reached_at_ms = (
             first_list_at_ms - store_watch.WATCHER_TIMEOUT_MS
         )
+        # The store has no change between the copy's revision and this one.
+        self._watched_revision = 0
+        self._revision_advanced_at_ms = first_list_at_ms
         # When the copy was last known to be up to date.
         self._confirmed_at_ms = first_list_at_ms
         self._behind_since_ms: float | None = None
@@ -99,8 +107,12 @@
     async def run(self) -> None:
         """Watch the store whenever this node has to, until stopped."""
         context = self._context
+        watching = False
         while not context.stopped:
-            if not self._should_watch():
+            was_watching, watching = watching, self._should_watch()
+            if watching and not was_watching and not self._store_lost:
+                self._log_start_of_watch()
+            if not watching:
                 self.in_sync = False
                 has_copy = self.copy.revision > 0
                 await self._sleep(
@@ -115,6 +127,16 @@
             except errors.StoreError as error:
                 self._on_store_error(error)
 
+    def _log_start_of_watch(self) -> None:
+        silent_ms = self._context.now_ms() - self._others_reached_at_ms
+        self._context.log.limited_event(
+            "store_watch_started",
+            kind=self._kind,
+            rank=self._context.own_rank(),
+            revision=self.copy.revision,
+            others_silent_ms=round(silent_ms, 1),
+        )
+
     def _should_watch(self) -> bool:
         now_ms = self._context.now_ms()
         if now_ms < self._next_attempt_ms:
@@ -127,24 +149,49 @@
         return store_watch.should_watch(
             now_ms,
             self._context.own_rank(),
-            self._watcher_heard_at_ms,
+            self._others_reached_at_ms,
             behind_ms,
         )
 
     async def _list_or_watch(self) -> None:
         if self.copy.revision == 0:
             await self._list()
-            return
-        after = self.copy.revision
-        wait_ms = WATCH_WAIT_MS if self.in_sync else FIRST_WATCH_WAIT_MS
-        watched = await self._context.store.watch(self._kind, after, wait_ms)
-        delta = store_copy.Delta(
-            self._kind, after, watched.revision, False, watched.changes
+        else:
+            await self._watch()
+
+    async def _watch(self) -> None:
+        copied_revision = self.copy.revision
+        watched = await self._context.store.watch(
+            self._kind,
+            max(copied_revision, self._watched_revision),
+            self._wait_ms(),
         )
-        self._apply(delta, from_store=True)
+        self._watched_revision = watched.revision
+        now_ms = self._context.now_ms()
+        self._reached_at_ms = now_ms
+        elapsed_ms = now_ms - self._revision_advanced_at_ms
+        if watched.changes or elapsed_ms > REVISION_INTERVAL_MS:
+            self._revision_advanced_at_ms = now_ms
+            delta = store_copy.Delta(
+                self._kind,
+                copied_revision,
+                watched.revision,
+                False,
+                watched.changes,
+            )
+            self._apply(delta, from_store=True)
         if watched.changes:
             await self._sleep(BATCH_DELAY_MS)
 
+    def _wait_ms(self) -> float:
+        if not self.in_sync:
+            return FIRST_WATCH_WAIT_MS
+        return store_watch.watch_wait_ms(
+            self._context.now_ms(),
+            self._context.own_rank(),
+            self._others_reached_at_ms,
+        )
+
     async def _try_list(self) -> None:
         try:
             await self._list()
@@ -160,6 +207,7 @@
         delta = store_copy.Delta(
             self._kind, 0, listing.revision, True, changes
         )
+        self._reached_at_ms = self._context.now_ms()
         self._apply(delta, from_store=True)
 
     def _apply(self, delta: store_copy.Delta, from_store: bool) -> None:
@@ -207,10 +255,9 @@
     # Peers --------------------------------------------------------------
 
     def kind_revision(self) -> messages.KindRevision:
-        """Return the copy's revision and how long ago it was confirmed."""
-        age_ms = 0.0
-        if not self.in_sync:
-            age_ms = self._context.now_ms() - self._watcher_heard_at_ms
+        """Return the copy's revision and the age of the store's answer."""
+        reached_at_ms = max(self._reached_at_ms, self._others_reached_at_ms)
+        age_ms = self._context.now_ms() - reached_at_ms
         fresh = (
             self.copy.revision > 0 and age_ms < store_watch.WATCHER_TIMEOUT_MS
         )
@@ -224,8 +271,8 @@
         """Process a peer's announced revision; fetch from it if newer."""
         now_ms = self._context.now_ms()
         reached_at_ms = now_ms - max(0.0, announced.age_ms)
-        if announced.fresh and reached_at_ms > self._watcher_heard_at_ms:
-            self._watcher_heard_at_ms = reached_at_ms
+        if announced.fresh and reached_at_ms > self._others_reached_at_ms:
+            self._others_reached_at_ms = reached_at_ms
         if announced.revision <= self.copy.revision:
             if announced.fresh:
                 self._confirmed_at_ms = max(
