Find nodes that follow an old configuration after connections fall silent (CONFIG)

When open connections fall silent behind something that still answers keep-alive probes, all watchers hear nothing at once and vouch for their copies until their watches time out after 9.5 s.

Tests: test_change_arrives_in_time_when_open_connections_fall_silent fails with the policy and the follower of before.

--- a/packages/soak/src/godwitflow/soak/deployment.py
+++ b/packages/soak/src/godwitflow/soak/deployment.py
@@ -97,6 +97,11 @@
             for node in self.nodes
         ]
 
+    def silence_store_connections(self) -> None:
+        """Let all open connections to the store go silent for good."""
+        for proxy in self.store_proxies.values():
+            proxy.silence_open_connections()
+
     # Upstreams ----------------------------------------------------------
 
     def add_upstream(self, service: str) -> str:
--- a/packages/soak/src/godwitflow/soak/faults.py
+++ b/packages/soak/src/godwitflow/soak/faults.py
@@ -58,6 +58,7 @@
         _fail_store,
         _drop_store_history,
         _disturb_store_link,
+        _silence_store_connections,
         _signal_node,
         _signal_node,
         _change_configuration,
@@ -152,6 +153,13 @@
     return ActiveFault(f"{name} to store {mode.value}", undo)
 
 
+def _silence_store_connections(
+    deployment: deployments.Deployment, rng: random.Random
+) -> ActiveFault:
+    deployment.silence_store_connections()
+    return ActiveFault("open connections to the store silent", _no_undo)
+
+
 def _signal_node(
     deployment: deployments.Deployment, rng: random.Random
 ) -> ActiveFault:
--- a/packages/soak/src/godwitflow/soak/main.py
+++ b/packages/soak/src/godwitflow/soak/main.py
@@ -125,6 +125,7 @@
         await self._run_without_faults()
         if self._bounds:
             self._check_rate_limit(limited, settled_s)
+        await self._silence_store_connections()
         await self._stop_nodes()
         for caller in self._callers:
             caller.stopped = True
@@ -210,17 +211,7 @@
         served = sum(record.status in SUCCESS_STATUSES for record in completed)
         if served < MIN_SERVED_SHARE * len(completed):
             self._add_problem(f"recovery: {served} of {len(completed)} served")
-        for record in completed:
-            if (
-                record.kind is histories.Kind.VERSIONED
-                and record.status in SUCCESS_STATUSES
-            ):
-                name = record.signatures[0].rpartition(".")[0]
-                if (
-                    history.services[name]
-                    != f"turn-{self._deployment.configuration_number}"
-                ):
-                    self._add_problem(f"old configuration: {record.request}")
+        self._check_configuration(start_s)
         late = [
             arrival
             for arrival in history.arrivals
@@ -233,6 +224,36 @@
                 f"drain: {len(late)} requests reached {leaving} too late"
             )
 
+    def _check_configuration(self, start_s: float) -> None:
+        """Check that requests sent since a time had the newest one."""
+        history = self._deployment.history
+        newest = f"turn-{self._deployment.configuration_number}"
+        for record in history.requests.values():
+            if (
+                record.kind is histories.Kind.VERSIONED
+                and record.sent_at_s > start_s
+                and record.status in SUCCESS_STATUSES
+            ):
+                name = record.signatures[0].rpartition(".")[0]
+                if history.services[name] != newest:
+                    self._add_problem(f"old configuration: {record.request}")
+
+    async def _silence_store_connections(self) -> None:
+        """Change the configuration after open connections fell silent.
+
+        Nodes count as undisturbed again after ``fixtures.STABLE_WINDOW_S``.
+        The change before lets their watches of the store begin anew.
+        """
+        self._deployment.change_configuration()
+        await self._sleep(0.5)
+        self._deployment.silence_store_connections()
+        self._deployment.change_configuration()
+        await self._sleep(fixtures.STABLE_WINDOW_S)
+        start_s = self._reactor.seconds()
+        await self._sleep(FAULT_FREE_S)
+        if self._bounds:
+            self._check_configuration(start_s)
+
     async def _stop_nodes(self) -> None:
         """Stop all nodes under load and wait until they exit."""
         start_s = self._reactor.seconds()
--- a/packages/soak/src/godwitflow/soak/proxies.py
+++ b/packages/soak/src/godwitflow/soak/proxies.py
@@ -53,6 +53,14 @@
         if mode is Mode.RESET:
             self.reset()
 
+    def silence_open_connections(self) -> None:
+        """Discard the data of the open connections, but not of new ones.
+
+        They stay open, and the kernel still answers keep-alive probes.
+        """
+        for side in self.sides:
+            side.silent = True
+
     def reset(self) -> None:
         """Abort every open connection."""
         for side in list(self.sides):
@@ -68,6 +76,7 @@
     def __init__(self, proxy: Proxy) -> None:
         self.proxy = proxy
         self.peer: _Side | None = None
+        self.silent = False
         self._buffered: list[bytes] = []
 
     def connectionMade(self) -> None:  # noqa: N802
@@ -81,7 +90,7 @@
             self.peer.transport.loseConnection()
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        if self.proxy.mode in self.dropping_modes:
+        if self.silent or self.proxy.mode in self.dropping_modes:
             return
         if self.peer is None:
             self._buffered.append(data)
--- a/packages/soak/tests/test_proxies.py
+++ b/packages/soak/tests/test_proxies.py
@@ -56,6 +56,15 @@
         connection.clock.advance(proxies.DELAY_S + 0.01)
         self.assertEqual(b"ask", connection.to_target.value())
 
+    def test_silenced_connection_stays_open_and_forwards_nothing(self):
+        connection = ProxiedConnection()
+        connection.proxy.silence_open_connections()
+        self.assertEqual((b"", b""), connection.exchange())
+        self.assertFalse(connection.aborted)
+        later = connection.proxy.buildProtocol(None)
+        later.makeConnection(testing.StringTransport())
+        self.assertFalse(later.silent)
+
     def test_reset_aborts_open_and_new_connections(self):
         connection = ProxiedConnection()
         connection.proxy.set_mode(Mode.RESET)
--- a/packages/store/src/godwitflow/store/memory_object_store.py
+++ b/packages/store/src/godwitflow/store/memory_object_store.py
@@ -28,6 +28,7 @@
         self.calls_by_client: collections.Counter[str] = collections.Counter()
         self.should_reject: typing.Callable[[str], bool] = lambda client: False
         self.is_silent_to: typing.Callable[[str], bool] = lambda client: False
+        self.connection_generation = 0
         self._kinds: dict[str, dict[str, objects.Object]] = {}
         self._history: list[tuple[str, objects.Change]] = []
         self._history_after = 0  # changes up to here have been dropped
@@ -42,6 +43,10 @@
         """The number of calls of all clients."""
         return self.calls_by_client.total()
 
+    def silence_open_connections(self) -> None:
+        """Never answer the calls that now wait; answer later ones."""
+        self.connection_generation += 1
+
     def drop_history(self) -> None:
         """Drop the history, so that watches from older revisions fail."""
         self._history.clear()
@@ -122,9 +127,13 @@
         if self._store.should_reject(self._client):
             raise errors.StoreUnavailableError("rejected")
 
-    async def _check_silence(self, due_at_s: float) -> None:
-        """Let a call that was due at a time fail if the store is silent."""
-        if not self._store.is_silent_to(self._client):
+    async def _check_silence(self, due_at_s: float, generation: int) -> None:
+        """Let a call that was due at a time fail if it gets no response.
+
+        ``generation`` is that of the connections when the call began.
+        """
+        silenced = generation != self._store.connection_generation
+        if not silenced and not self._store.is_silent_to(self._client):
             return
         clock = self._store.clock
         fails_at_s = due_at_s + CALL_TIMEOUT_MS / MS_PER_S
@@ -136,7 +145,9 @@
     ) -> objects.Listing:
         """List the objects of a kind."""
         self._begin_call()
-        await self._check_silence(self._store.clock.seconds())
+        await self._check_silence(
+            self._store.clock.seconds(), self._store.connection_generation
+        )
         return self._store.listing(kind)
 
     async def watch(
@@ -146,11 +157,12 @@
         self._begin_call()
         clock = self._store.clock
         deadline_s = clock.seconds() + wait_ms / MS_PER_S
+        generation = self._store.connection_generation
         while True:
             changes = self._store.changes(kind, after_revision)
             left_ms = (deadline_s - clock.seconds()) * MS_PER_S
             if changes.changes or left_ms <= 0:
-                await self._check_silence(deadline_s)
+                await self._check_silence(deadline_s, generation)
                 return changes
             await self._store.wait_for_change(left_ms)
             if self._store.should_reject(self._client):
--- a/packages/tier/tests/test_replication.py
+++ b/packages/tier/tests/test_replication.py
@@ -304,6 +304,17 @@
             fleet.advance(MAX_DELAY_MS)
             self.assertTrue(all(self.nodes_have(fleet, "b")), phase_ms)
 
+    def test_change_arrives_in_time_when_open_connections_fall_silent(self):
+        # All nodes kept the old configuration until their watches timed out.
+        for phase_ms in range(0, 2_000, 200):
+            fleet = Fleet(9)
+            fleet.advance(3_000.0 + phase_ms)
+            fleet.store.silence_open_connections()
+            fleet.advance(20.0)
+            fleet.store.write(KIND, "b", {})
+            fleet.advance(MAX_DELAY_MS)
+            self.assertTrue(all(self.nodes_have(fleet, "b")), phase_ms)
+
     def test_change_arrives_in_time_while_first_ranks_hear_nothing(self):
         fleet = Fleet(64)
         fleet.advance(3_000.0)
