--- a/packages/model/src/godwitflow/model/errors.py
+++ b/packages/model/src/godwitflow/model/errors.py
@@ -20,6 +20,10 @@
     """An index object is malformed or inconsistent."""
 
 
+class AddressError(GodwitflowError):
+    """A network address is not of the form ``IP:PORT``."""
+
+
 class CodecError(GodwitflowError):
     """A message between nodes or a stored object could not be decoded."""
 
