--- a/packages/tier/tests/test_node.py
+++ b/packages/tier/tests/test_node.py
@@ -3,199 +3,25 @@
 import dataclasses
 import unittest
 
-import simulated_upstreams
-import simulation
-from twisted.internet import defer
-from twisted.internet import testing
+import node_fixture
 
-from godwitflow.http1 import messages as http_messages
-from godwitflow.model import errors
 from godwitflow.model import ids
 from godwitflow.policy import node_load
 from godwitflow.policy import retry_budget
-from godwitflow.policy import routing
-from godwitflow.store import memory_object_store
-from godwitflow.tier import node as nodes
 from godwitflow.tier import settings
 from godwitflow.wire import messages
 
-GRACE_MS = 6_000.0
-GET = b"GET %b HTTP/1.1\r\nHost: a.example\r\nX-Id: 1\r\n\r\n"
-
-
-class FakeDecoder:
-    """Decodes specs that hold only a version or an upstream's address."""
-
-    configuration_kind = "configurations"
-    configuration_name = "main"
-    registration_kind = "upstreams"
-
-    def decode_configuration(self, stored):
-        if stored.spec is None:
-            raise errors.SettingsError(("no spec",))
-        one = routing.Single("one")
-        once = routing.RetryPolicy.AT_MOST_ONCE
-        routes = (
-            simulation.make_route("one", b"/one/", one),
-            simulation.make_route("long", b"/long/", one, timeout_ms=9_000.0),
-            simulation.make_route(
-                "once",
-                b"/once/",
-                one,
-                timeout_ms=9_000.0,
-                target_ms=1_000.0,
-                retry_policy=once,
-            ),
-        )
-        return routing.Configuration(
-            stored.revision, stored.spec["version"], routes, {}, None
-        )
-
-    def decode_registration(self, stored):
-        if "address" not in stored.spec:
-            return None
-        upstream = simulated_upstreams.Upstream(
-            stored.name, "one", stored.spec["address"]
-        )
-        return upstream.registration()
-
-
-class FakeAddressCodec:
-    """Finds no failure domain and encodes addresses as plain text."""
-
-    def caller_failure_domain(self, request):
-        return None
-
-    def encode_addresses(self, addresses, ttl_s):
-        text = f"{','.join(addresses)} ttl {ttl_s}"
-        return http_messages.text_response(200, text)
-
-
-class FakePort:
-    def stopListening(self):  # noqa: N802
-        return defer.succeed(None)
-
-
-class FakeReactor(testing.MemoryReactorClock):
-    """A reactor in memory that connects clients to simulated upstreams.
-
-    Datagrams are discarded.
-    """
-
-    def __init__(self, upstreams):
-        super().__init__()
-        self.listening = {}
-        self.upstreams = upstreams
-
-    def listenTCP(  # noqa: N802
-        self, port, factory, backlog=50, interface=""
-    ):
-        self.listening[port] = factory
-        return FakePort()
-
-    def listenUDP(  # noqa: N802
-        self, port, protocol, interface="", maxPacketSize=8192
-    ):
-        protocol.transport = self
-        return FakePort()
-
-    def write(self, data, address):
-        pass
-
-    def connectTCP(  # noqa: N802
-        self, host, port, factory, timeout=30.0, bindAddress=None
-    ):
-        upstream = self.upstreams[f"{host}:{port}"]
-        client = factory.buildProtocol(None)
-        client.makeConnection(
-            simulated_upstreams.FakeTransport(self, upstream, client)
-        )
-
-
-class NodeFixture:
-    """A node with a simulated store and one upstream.
-
-    Its ports: 1 for callers, 2 for readiness checks, 3 for addresses, 4
-    for metrics, 5 for other nodes.
-    """
-
-    def __init__(self):
-        self.upstream = simulated_upstreams.Upstream(
-            "u1", "one", "10.0.1.1:80"
-        )
-        self.upstream.body = b"whole"
-        self.reactor = FakeReactor({"10.0.1.1:80": self.upstream})
-        self.store = memory_object_store.MemoryObjectStore(self.reactor)
-        self.log = simulation.RecordingLog()
-        node_settings = settings.NodeSettings(
-            ids.NodeId("n1"),
-            ids.FailureDomain("d1"),
-            "10.0.0.1:1",
-            "10.0.0.1:2",
-            "10.0.0.1:3",
-            "10.0.0.1:4",
-            "10.0.0.1:5",
-            ("10.0.0.1:5",),
-            "10.0.0.9:1",
-            True,
-            settings.Bounds(
-                GRACE_MS,
-                5_000.0,
-                retry_budget.RetryLimits(0.2, 58.0, 10_000.0),
-            ),
-        )
-        self.log.dropped_total = 0
-        self.node = nodes.Node(
-            self.reactor,
-            node_settings,
-            simulation.HEADER_NAMES,
-            self.store.client_for("n1"),
-            FakeDecoder(),
-            self.log,
-            1,
-            FakeAddressCodec(),
-            lambda: self.reactor.seconds() * 1_000.0,
-        )
-        self.stop_results = []
-        self.node.start().addCallback(self.stop_results.append)
-
-    def fill_store(self):
-        self.store.write("configurations", "main", {"version": 3})
-        self.store.write("upstreams", "u1", {"address": "10.0.1.1:80"})
-
-    def advance(self, for_ms):
-        for _ in range(int(for_ms / 10.0)):
-            self.reactor.advance(0.01)
-
-    def connect(self, port):
-        connection = self.reactor.listening[port].buildProtocol(None)
-        transport = testing.StringTransport()
-        transport.abortConnection = lambda: None
-        transport.loseWriteConnection = lambda: setattr(
-            transport, "write_closed", True
-        )
-        transport.setTcpNoDelay = lambda value: None
-        transport.write_closed = False
-        connection.makeConnection(transport)
-        return connection
-
-    def request(self, port, path=b"/"):
-        connection = self.connect(port)
-        connection.dataReceived(GET % path)
-        self.advance(50.0)
-        return connection.transport.value()
-
 
 class NodeTest(unittest.TestCase):
     def test_node_without_configuration_is_not_ready(self):
-        fixture = NodeFixture()
+        fixture = node_fixture.NodeFixture()
         fixture.advance(300.0)
         self.assertIn(b" 503 ", fixture.request(2))
         self.assertIn(b" 503 ", fixture.request(3))
         self.assertIn(b" 503 ", fixture.request(1, b"/one/"))
 
     def test_node_serves_with_configuration_and_registrations(self):
-        fixture = NodeFixture()
+        fixture = node_fixture.NodeFixture()
         fixture.fill_store()
         fixture.advance(1_000.0)
         self.assertIn(b" 200 ", fixture.request(2))
@@ -204,7 +30,7 @@
         self.assertIn(b"answers_total", fixture.request(4))
 
     def test_invalid_registration_is_logged_and_ignored(self):
-        fixture = NodeFixture()
+        fixture = node_fixture.NodeFixture()
         fixture.fill_store()
         fixture.store.write("upstreams", "odd", {"state": 7})
         fixture.advance(1_000.0)
@@ -217,7 +43,7 @@
         self.assertIn(b"whole", fixture.request(1, b"/one/"))
 
     def test_address_ttl_is_limited_by_settings(self):
-        fixture = NodeFixture()
+        fixture = node_fixture.NodeFixture()
         fixture.fill_store()
         fixture.advance(1_000.0)
         self.assertIn(b"ttl 2.0", fixture.request(3))
@@ -229,18 +55,18 @@
         self.assertIn(b"ttl 0.7", fixture.request(3))
 
     def test_first_start_registers_node_in_store(self):
-        fixture = NodeFixture()
+        fixture = node_fixture.NodeFixture()
         fixture.advance(100.0)
         (entry,) = fixture.store.listing("members").objects
         self.assertEqual("10.0.0.1:5", entry.spec["inner"])
 
     def test_stop_withdraws_address_and_finishes_requests(self):
-        fixture = NodeFixture()
+        fixture = node_fixture.NodeFixture()
         fixture.fill_store()
         fixture.advance(1_000.0)
         fixture.upstream.latency_ms = 2_500.0
         slow = fixture.connect(1)
-        slow.dataReceived(GET % b"/one/")
+        slow.dataReceived(node_fixture.GET % b"/one/")
         fixture.node.stop()
         self.assertIn(b" 503 ", fixture.request(2))
         self.assertIn(b" 503 ", fixture.request(3))
@@ -248,43 +74,43 @@
         self.assertEqual([], fixture.stop_results)
         later = fixture.connect(1)
         fixture.upstream.latency_ms = 10.0
-        later.dataReceived(GET % b"/one/")
+        later.dataReceived(node_fixture.GET % b"/one/")
         fixture.advance(100.0)
         self.assertIn(b"whole", later.transport.value())
         self.assertIn(b"Connection: close", later.transport.value())
-        fixture.advance(GRACE_MS)
+        fixture.advance(node_fixture.GRACE_MS)
         self.assertEqual([None], fixture.stop_results)
         self.assertTrue(slow.transport.value())
 
     def test_idle_stopping_node_serves_until_address_ttl_ends(self):
-        fixture = NodeFixture()
+        fixture = node_fixture.NodeFixture()
         fixture.fill_store()
         fixture.advance(1_000.0)
         fixture.node.stop()
         fixture.advance(fixture.node.directory.address_ttl_ms + 100.0)
         self.assertEqual([], fixture.stop_results)
         self.assertIn(b"whole", fixture.request(1, b"/one/"))
-        fixture.advance(GRACE_MS)
+        fixture.advance(node_fixture.GRACE_MS)
         self.assertEqual([None], fixture.stop_results)
 
     def test_request_taken_late_in_a_stop_is_answered_before_its_end(self):
         for path in (b"/long/", b"/once/"):
-            fixture = NodeFixture()
+            fixture = node_fixture.NodeFixture()
             fixture.fill_store()
             fixture.advance(1_000.0)
             fixture.upstream.latency_ms = 8_000.0
             fixture.node.stop()
             fixture.advance(3_200.0)
             connection = fixture.connect(1)
-            connection.dataReceived(GET % path)
+            connection.dataReceived(node_fixture.GET % path)
             fixture.advance(100.0)
             self.assertEqual(1, len(fixture.upstream.executions))
-            fixture.advance(GRACE_MS)
+            fixture.advance(node_fixture.GRACE_MS)
             self.assertEqual([None], fixture.stop_results)
             self.assertIn(b" 504 ", connection.transport.value())
 
     def test_request_that_cannot_end_before_the_stop_is_refused_at_once(self):
-        fixture = NodeFixture()
+        fixture = node_fixture.NodeFixture()
         fixture.fill_store()
         fixture.advance(1_000.0)
         fixture.node.stop()
@@ -294,7 +120,7 @@
         self.assertEqual(1, len(fixture.upstream.executions))
 
     def test_exception_in_loop_is_logged_and_loop_restarted(self):
-        fixture = NodeFixture()
+        fixture = node_fixture.NodeFixture()
         fixture.fill_store()
         fixture.advance(1_000.0)
         exceptions = [RuntimeError("once")]
@@ -318,17 +144,17 @@
         self.assertIn(b"whole", fixture.request(1, b"/one/"))
 
     def test_stop_ends_within_grace_with_open_connection(self):
-        fixture = NodeFixture()
+        fixture = node_fixture.NodeFixture()
         fixture.fill_store()
         fixture.advance(1_000.0)
         fixture.connect(1)
         fixture.node.stop()
         fixture.node.stop()
-        fixture.advance(GRACE_MS - 100.0)
+        fixture.advance(node_fixture.GRACE_MS - 100.0)
         self.assertEqual([None], fixture.stop_results)
 
     def test_only_changed_members_are_logged(self):
-        fixture = NodeFixture()
+        fixture = node_fixture.NodeFixture()
         fixture.advance(300.0)
         for number in range(60):
             update = messages.MemberUpdate(
@@ -348,7 +174,7 @@
         self.assertEqual(61, len(set(names)))
 
     def test_busy_and_calm_are_announced_and_logged(self):
-        fixture = NodeFixture()
+        fixture = node_fixture.NodeFixture()
         fixture.fill_store()
         fixture.advance(1_000.0)
         for calls, load in ((5_000, node_load.BUSY_LOAD), (0, 0.0)):
@@ -360,12 +186,14 @@
         self.assertLess(events.index("busy"), events.index("calm"))
 
     def test_changed_retry_limits_are_applied(self):
-        fixture = NodeFixture()
+        fixture = node_fixture.NodeFixture()
         fixture.fill_store()
         fixture.advance(1_000.0)
         current = fixture.node._settings
         changed = settings.Bounds(
-            GRACE_MS, 1.0, retry_budget.RetryLimits(0.0, 0.0, 10_000.0)
+            node_fixture.GRACE_MS,
+            1.0,
+            retry_budget.RetryLimits(0.0, 0.0, 10_000.0),
         )
         fixture.node.apply_settings(
             dataclasses.replace(current, bounds=changed)
