Contact only listed members whose address can be right (LOST)

What would be seen: one odd entry among those of the members, of another writer, with no port or one out of range, made the loop that contacts members fail each time; it was restarted, and the contacts of that round were lost.

Cause: the entry's address was checked to be text only.

--- a/packages/tier/src/godwitflow/tier/self_registration.py
+++ b/packages/tier/src/godwitflow/tier/self_registration.py
@@ -4,6 +4,7 @@
 
 from twisted.internet import task
 
+from godwitflow.model import addresses
 from godwitflow.model import errors
 from godwitflow.store import objects
 from godwitflow.tier import log as logs
@@ -79,10 +80,17 @@
 
     def _contact_members(self, listing: objects.Listing) -> None:
         inner_addresses = [
-            entry.spec["inner"]
+            inner_address
             for entry in listing.objects
-            if entry.spec is not None
-            and entry.name != self._settings.node
-            and isinstance(entry.spec.get("inner"), str)
+            if entry.name != self._settings.node
+            and (inner_address := _inner_address(entry)) is not None
         ]
         self._peers.contact_unknown(inner_addresses)
+
+
+def _inner_address(entry: objects.Object) -> str | None:
+    """Return the address in a member's entry; None if there is none."""
+    inner_address = None if entry.spec is None else entry.spec.get("inner")
+    if isinstance(inner_address, str) and addresses.is_valid(inner_address):
+        return inner_address
+    return None
--- a/packages/tier/tests/node_fixture.py
+++ b/packages/tier/tests/node_fixture.py
@@ -182,3 +182,11 @@
         connection.dataReceived(GET % path)
         self.advance(50.0)
         return connection.transport.value()
+
+
+def serving_node():
+    """Return the fixture of a node that serves requests."""
+    fixture = NodeFixture()
+    fixture.fill_store()
+    fixture.advance(500.0)
+    return fixture
