Reject messages of peers with values that no node sends

What would be seen: a member row with an address that cannot be one was passed on and probed, and each probe failed the loop of the membership protocol; a header without a port raised ValueError in the receiver, and the rest of the datagram was lost. NaN and infinite numbers went into loads, limits and latencies.

Change: numbers in messages have ranges that are checked when they are decoded; a datagram without a valid sender and a message with a row without valid addresses are counted as rejected; an error in one message is logged as message_failed and hides no other. A send to an invalid address is logged as datagram_lost.

Evidence: test_odd_messages puts 20 odd values into each field of each of the 11 messages that nodes exchange and into the header, and then a request is served. Its three tests fail on the code before.

--- a/packages/tier/src/godwitflow/tier/peer_protocol.py
+++ b/packages/tier/src/godwitflow/tier/peer_protocol.py
@@ -10,6 +10,7 @@
 from twisted.internet import protocol
 
 from godwitflow.http1 import byte_count
+from godwitflow.model import addresses
 from godwitflow.model import errors
 from godwitflow.model import ids
 from godwitflow.policy import address_choice
@@ -159,12 +160,11 @@
         header = codec.Header(
             codec.VERSION, me.node, me.incarnation, me.inner_address
         )
-        host, _, port = inner_address.rpartition(":")
         data = codec.encode(header, batch)
         self._byte_count(inner_address, batch).sent += len(data)
         try:
-            self.transport.write(data, (host, int(port)))
-        except OSError as error:
+            self.transport.write(data, addresses.split(inner_address))
+        except (OSError, errors.AddressError) as error:
             self._log.limited_event(
                 "datagram_lost", peer=inner_address, error=str(error)
             )
@@ -193,16 +193,36 @@
         except errors.CodecError:
             self.rejected_count += 1
             return
-        self.rejected_count += received.rejected
         inner_address = received.header.inner_address
+        if not addresses.is_valid(inner_address):
+            self.rejected_count += 1
+            return
+        self.rejected_count += received.rejected
         count = self._byte_count(inner_address, received.messages)
         count.received += len(data)
         for message in received.messages:
-            self._dispatch(received.header, message)
+            self._process(received.header, message)
         if self.membership.changed:
             self.introductions.greet_new_members(self._now_ms())
         self._report_changes()
 
+    def _process(
+        self, header: codec.Header, message: messages.Message
+    ) -> None:
+        """Dispatch a message; one that is odd or fails hides no other."""
+        if not _is_sound(message):
+            self.rejected_count += 1
+            return
+        try:
+            self._dispatch(header, message)
+        except Exception as error:
+            self._log.limited_event(
+                "message_failed",
+                peer=header.inner_address,
+                message=type(message).__name__,
+                error=repr(error),
+            )
+
     def _dispatch(
         self, header: codec.Header, message: messages.Message
     ) -> None:
@@ -305,3 +325,19 @@
         to restart, or are only partitioned and still send calls.
         """
         return len(self.membership.all_members())
+
+
+def _is_sound(message: messages.Message) -> bool:
+    """Return whether every member in a message can be contacted."""
+    match message:
+        case messages.Probe() | messages.ProbeAck() | messages.MembersPush():
+            return all(_has_addresses(row) for row in message.updates)
+        case _:
+            return True
+
+
+def _has_addresses(row: messages.MemberUpdate) -> bool:
+    caller_address = row.caller_address
+    return addresses.is_valid(row.inner_address) and (
+        not caller_address or addresses.is_valid(caller_address)
+    )
--- a/packages/wire/src/godwitflow/wire/codec.py
+++ b/packages/wire/src/godwitflow/wire/codec.py
@@ -17,7 +17,7 @@
 
     version: int
     sender: ids.NodeId
-    incarnation: int
+    incarnation: messages.Count
     inner_address: str
 
 
--- a/packages/wire/src/godwitflow/wire/messages.py
+++ b/packages/wire/src/godwitflow/wire/messages.py
@@ -6,6 +6,9 @@
 Each message is a MessagePack array that starts with its tag. Fields may
 only be appended, with a default: a reader of an older version ignores
 fields it does not know, so nodes of two versions can run side by side.
+
+A message with a number outside its range, which no node sends, is rejected
+when it is decoded.
 """
 
 import enum
@@ -16,6 +19,12 @@
 from godwitflow.model import answers
 from godwitflow.model import ids
 
+Milliseconds = typing.Annotated[float, msgspec.Meta(ge=-1e12, le=1e12)]
+Amount = typing.Annotated[float, msgspec.Meta(ge=0.0, le=1e12)]
+Rate = typing.Annotated[float, msgspec.Meta(gt=0.0, le=1e12)]
+Count = typing.Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+Revision = typing.Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+
 
 class PieceStatus(enum.IntEnum):
     """The result of one piece.
@@ -54,7 +63,7 @@
     snapshot: ids.SnapshotVersion
     rank: ids.Rank
     tie_breaker: int
-    budget_ms: float
+    budget_ms: Milliseconds
     idempotent: bool
     canary: bool
     fingerprint: ids.Fingerprint
@@ -76,10 +85,10 @@
     status: PieceStatus
     ran: answers.RunStatus
     rows: bytes = b""
-    queue_ms: float = 0.0
-    upstream_ms: float = 0.0
+    queue_ms: Milliseconds = 0.0
+    upstream_ms: Milliseconds = 0.0
     calls: int = 0
-    retry_after_ms: float = 0.0
+    retry_after_ms: Milliseconds = 0.0
 
 
 class CancelPieces(msgspec.Struct, frozen=True, array_like=True, tag=3):
@@ -100,10 +109,10 @@
 
     service: ids.ServiceName
     replica_set: ids.ReplicaSetId
-    wait_ms: tuple[float, ...]
-    wait_per_piece_ms: tuple[float, ...]
+    wait_ms: tuple[Milliseconds, ...]
+    wait_per_piece_ms: tuple[Milliseconds, ...]
     canaries: tuple[int, ...]
-    busy_share: float
+    busy_share: Amount
 
 
 class Loads(msgspec.Struct, frozen=True, array_like=True, tag=4):
@@ -119,7 +128,7 @@
     partition: int
     key: str
     claimer: str
-    budget_ms: float
+    budget_ms: Milliseconds
 
 
 class ClaimVerdict(enum.IntEnum):
@@ -172,11 +181,11 @@
     inner_address: str
     caller_address: str
     operator_address: str
-    incarnation: int
+    incarnation: Count
     state: MemberState
     joined: bool = False
-    load: float = 0.0
-    cores: float = 0.0
+    load: Amount = 0.0
+    cores: Amount = 0.0
 
 
 class Digest(msgspec.Struct, frozen=True, array_like=True):
@@ -227,8 +236,8 @@
     """A request fingerprint and its number of upstream crashes."""
 
     fingerprint: ids.Fingerprint
-    crashes: int
-    age_ms: float
+    crashes: Count
+    age_ms: Milliseconds
 
 
 class Suspicions(msgspec.Struct, frozen=True, array_like=True, tag=13):
@@ -273,9 +282,9 @@
     """
 
     kind: str
-    revision: int
+    revision: Revision
     fresh: bool
-    age_ms: float = 0.0
+    age_ms: Milliseconds = 0.0
 
 
 class Revisions(msgspec.Struct, frozen=True, array_like=True, tag=18):
@@ -288,7 +297,7 @@
     """A change of an object; ``spec`` is None if it was unreadable."""
 
     name: str
-    revision: int
+    revision: Revision
     removed: bool
     spec: dict[str, typing.Any] | None
 
@@ -300,8 +309,8 @@
     """
 
     kind: str
-    after: int
-    revision: int
+    after: Revision
+    revision: Revision
     full: bool
     changes: tuple[ObjectChange, ...]
 
@@ -314,9 +323,9 @@
     """
 
     upstream: ids.UpstreamId
-    replies: int
-    latency_ratio: float
-    failures: int
+    replies: Count
+    latency_ratio: Amount
+    failures: Count
 
 
 class UpstreamReports(msgspec.Struct, frozen=True, array_like=True, tag=20):
@@ -337,8 +346,8 @@
     upstream: ids.UpstreamId
     started_at_ms: int
     urgent: bool
-    calls_per_s: float
-    age_ms: float
+    calls_per_s: Rate
+    age_ms: Milliseconds
 
 
 class PermitRequest(msgspec.Struct, frozen=True, array_like=True, tag=21):
@@ -358,9 +367,9 @@
 
     ticket: int
     issued: bool
-    wait_ms: float
-    calls_per_s: float | None = None
-    age_ms: float | None = None
+    wait_ms: Milliseconds
+    calls_per_s: Rate | None = None
+    age_ms: Milliseconds | None = None
 
 
 class PermitReply(msgspec.Struct, frozen=True, array_like=True, tag=22):
@@ -377,8 +386,8 @@
 
     upstream: ids.UpstreamId
     started_at_ms: int
-    calls_per_s: float | None
-    age_ms: float
+    calls_per_s: Rate | None
+    age_ms: Milliseconds
 
 
 class LimitReports(msgspec.Struct, frozen=True, array_like=True, tag=23):
