Read no Keep-Alive time of thousands of digits

What callers saw: a response with such a time was never delivered; the request ended at its deadline. int() raised ValueError after the call had been taken off the connection and before it was finished.

Evidence: test_odd_keep_alive_header_loses_no_response fails on the code before; times of more than nine digits are ignored now.

--- a/packages/http1/src/godwitflow/http1/upstreams.py
+++ b/packages/http1/src/godwitflow/http1/upstreams.py
@@ -30,6 +30,7 @@
 MAX_OVERHEAD_BYTES = 262_144  # head and framing in excess of the body
 KEEP_ALIVE_MARGIN_MS = 400.0  # subtracted from the stated timeout
 DEFAULT_KEEP_ALIVE_MS = 500.0
+MAX_KEEP_ALIVE_DIGITS = 9
 LARGE_REQUEST_BYTES = 32_768  # connections that sent more are not reused
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
@@ -383,7 +384,7 @@
         if header is None or b"timeout=" not in header:
             return
         digits = header.split(b"timeout=")[1].split(b",")[0].strip()
-        if digits.isdigit():
+        if digits.isdigit() and len(digits) <= MAX_KEEP_ALIVE_DIGITS:
             timeout_ms = int(digits) * MS_PER_S
             self._keep_alive_ms = timeout_ms - KEEP_ALIVE_MARGIN_MS
 
--- a/packages/http1/tests/test_upstreams.py
+++ b/packages/http1/tests/test_upstreams.py
@@ -242,6 +242,18 @@
         self.assertEqual([], pending.owner.idle)
         self.assertEqual([pending.connection], pending.owner.closed)
 
+    def test_odd_keep_alive_header_loses_no_response(self):
+        # A number of more digits than int() takes left the call unanswered.
+        for value in (b"9" * 5_000, b"9" * 400, b"1e9", b"-1", b"", b"nan"):
+            pending = PendingCall()
+            pending.connection.dataReceived(
+                RESPONSE.replace(
+                    b"\r\nServer", b"\r\nKeep-Alive: timeout=%b\r\nServer"
+                )
+                % value
+            )
+            self.assertEqual([b"hello"], pending.bodies(), value[:10])
+
     def test_keep_alive_header_limits_reuse(self):
         pending = PendingCall()
         pending.connection.dataReceived(
