Refuse fetches after a revision that is no number

str.isdigit() accepts digits that int() does not, such as a superscript two, and any number of them. The handler raised ValueError and the peer got no response; it gets 404 now. test_odd_revision_in_a_fetch_is_refused fails on the code before.

--- a/packages/tier/src/godwitflow/tier/replication.py
+++ b/packages/tier/src/godwitflow/tier/replication.py
@@ -7,6 +7,7 @@
 announcement from a watcher that reaches the store watches it itself.
 """
 
+import re
 import typing
 import urllib.parse
 import zlib
@@ -36,6 +37,7 @@
 STATE_PATH = b"/state/"
 DEFLATE_LEVEL = 1
 DEFLATE_HEADERS = [(b"Content-Encoding", b"deflate")]
+_REVISION = re.compile("[0-9]{1,19}")
 
 
 class Members(typing.Protocol):
@@ -192,7 +194,7 @@
         after = dict(urllib.parse.parse_qsl(query)).get("after", "")
         kind = request.path.removeprefix(STATE_PATH).decode("latin-1")
         follower = self.followers.get(kind)
-        if follower is None or not after.isdigit():
+        if follower is None or not _REVISION.fullmatch(after):
             exchange.respond(http_messages.text_response(404, "no such state"))
             return
         exchange.respond(
--- a/packages/tier/tests/test_replication.py
+++ b/packages/tier/tests/test_replication.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+import node_fixture
 import simulation
 from twisted.internet import task
 
@@ -184,6 +185,14 @@
                 replication._inflate(bad)
 
 
+class OddFetchTest(unittest.TestCase):
+    def test_odd_revision_in_a_fetch_is_refused(self):
+        fixture = node_fixture.serving_node()
+        for after in (b"", b"-1", b"%C2%B2", b"9" * 5_000, b"1e3", b"0x1"):
+            path = b"/state/upstreams?after=" + after
+            self.assertIn(b" 404 ", fixture.request(5, path), after[:20])
+
+
 class ReplicationTest(unittest.TestCase):
     def nodes_have(self, fleet, name):
         return [name in node.revision_by_name for node in fleet.nodes]
