--- a/packages/tier/src/godwitflow/tier/cluster_state.py
+++ b/packages/tier/src/godwitflow/tier/cluster_state.py
@@ -6,7 +6,6 @@
 
 import typing
 
-from godwitflow.model import errors
 from godwitflow.model import ids
 from godwitflow.policy import registrations
 from godwitflow.policy import routing
@@ -98,7 +97,7 @@
             return
         try:
             configuration = self._decoder.decode_configuration(stored)
-        except errors.SettingsError as error:
+        except Exception as error:  # whatever the operator's writer stored
             self._log.event(
                 "configuration_refused",
                 revision=stored.revision,
@@ -136,12 +135,18 @@
             )
 
     def _decode_entry(self, stored: objects.Object) -> registrations.Entry:
-        registration = self._decoder.decode_registration(stored)
+        registration = None
+        error = ""
+        try:
+            registration = self._decoder.decode_registration(stored)
+        except Exception as defect:  # one entry must not hide the others
+            error = repr(defect)
         if registration is None:
             self._log.limited_event(
                 "registration_unusable",
                 upstream=stored.name,
                 revision=stored.revision,
+                error=error,
             )
         return registrations.Entry(
             ids.UpstreamId(stored.name), stored.revision, registration
--- a/packages/tier/src/godwitflow/tier/follower.py
+++ b/packages/tier/src/godwitflow/tier/follower.py
@@ -126,6 +126,8 @@
                 await self._try_list()
             except errors.StoreError as error:
                 self._on_store_error(error)
+            except Exception as error:
+                self._on_defect(error)
 
     def _log_start_of_watch(self) -> None:
         silent_ms = self._context.now_ms() - self._others_reached_at_ms
@@ -239,6 +241,18 @@
         if not self._store_lost:
             self._store_lost = True
             context.log.event("store_lost", kind=self._kind, error=str(error))
+        self._back_off()
+
+    def _on_defect(self, error: Exception) -> None:
+        """Log an unexpected error, and go on after a pause."""
+        self.in_sync = False
+        self._context.log.limited_event(
+            "follow_failed", kind=self._kind, error=repr(error)
+        )
+        self._back_off()
+
+    def _back_off(self) -> None:
+        context = self._context
         if context.own_rank() < store_watch.WATCHER_COUNT:
             max_backoff_ms = BACKOFF_MAX_MS
         else:
@@ -312,5 +326,7 @@
                 kind=self._kind,
                 error=str(error),
             )
+        except Exception as error:
+            self._on_defect(error)
         finally:
             self._fetching = False
--- a/packages/tier/src/godwitflow/tier/replication.py
+++ b/packages/tier/src/godwitflow/tier/replication.py
@@ -172,8 +172,17 @@
         changes: list[objects.Change],
         after_outage: bool,
     ) -> None:
-        """Pass changes to the listener and announce the new revision."""
-        self._listener.on_changes(kind, changes, after_outage)
+        """Pass changes to the listener and announce the new revision.
+
+        The copy has them already, so an error of the listener must not end
+        what the follower does with them.
+        """
+        try:
+            self._listener.on_changes(kind, changes, after_outage)
+        except Exception as error:
+            self.log.limited_event(
+                "changes_failed", kind=kind, error=repr(error)
+            )
         self._announce()
 
     # Fetches ------------------------------------------------------------
