Let no odd answer of the object API or address of a peer stop godwitflowd

Heads and indexes needed nothing: their decoders know every field and refuse what is nested where it is not due (test_catalog).

--- a/packages/policy/tests/test_catalog.py
+++ b/packages/policy/tests/test_catalog.py
@@ -45,6 +45,19 @@
     def apply(self, objects):
         return [self.catalog.apply_object(*item) for item in objects]
 
+    def test_odd_object_is_refused_and_the_one_before_stays(self):
+        self.apply(generation(1))
+        self.catalog.apply_object("index/seats", 1, index_value(1))
+        nested = b"[" * 2_000 + b"]" * 2_000
+        for number, odd in enumerate(
+            (nested, b'{"service":%b}' % nested, b'"\\udcff"', b"9" * 5_000)
+        ):
+            for name in (stored_config.HEAD_NAME, "index/seats"):
+                self.catalog.apply_object(name, 5 + number, odd)
+        self.assertIn("seats", self.catalog.config.services)
+        (kept,) = self.catalog.indexes.values()
+        self.assertEqual(1, kept.snapshot)
+
     def test_generation_is_active_once_its_files_are_present(self):
         file, head = generation(1)
         self.assertTrue(self.catalog.apply_object(*head))
--- a/packages/soak/src/godwitflow/soak/faults.py
+++ b/packages/soak/src/godwitflow/soak/faults.py
@@ -10,6 +10,7 @@
 from godwitflow.soak import proxies
 from godwitflow.standins import fake_store
 from godwitflow.standins import fake_upstream
+from godwitflow.standins import fixtures
 
 LINK_FAULTS = (
     proxies.Mode.DELAY,
@@ -28,6 +29,7 @@
 )
 # Some of them are no limits.
 RATE_LIMITS = ("20", "4", "0.5", "0", "-1", "ten", "", "1e9")
+ODD_ENTRY_KINDS = ("servers", "members")
 STORE_FAULTS = tuple(
     fault
     for fault in fake_store.StoreFault
@@ -59,6 +61,7 @@
         _drop_store_history,
         _disturb_store_link,
         _silence_store_connections,
+        _write_odd_entry,
         _signal_node,
         _signal_node,
         _change_configuration,
@@ -160,6 +163,20 @@
     return ActiveFault("open connections to the store silent", _no_undo)
 
 
+def _write_odd_entry(
+    deployment: deployments.Deployment, rng: random.Random
+) -> ActiveFault:
+    kind = rng.choice(ODD_ENTRY_KINDS)
+    name = f"odd{rng.randrange(1_000_000)}"
+    spec = rng.choice(fixtures.odd_specs())
+    deployment.store.write_raw(kind, name, spec)
+
+    def undo() -> None:
+        deployment.store.objects.remove(kind, name)
+
+    return ActiveFault(f"odd entry in {kind}: {spec[:60]!r}", undo)
+
+
 def _signal_node(
     deployment: deployments.Deployment, rng: random.Random
 ) -> ActiveFault:
--- a/packages/soak/src/godwitflow/soak/main.py
+++ b/packages/soak/src/godwitflow/soak/main.py
@@ -30,6 +30,7 @@
 STOP_TIMEOUT_S = 60.0
 MIN_SERVED_SHARE = 0.95
 CALLER_COUNT = 8
+MAX_RESIDENT_MB = 300.0
 LIMIT_CALLS_PER_S = 2.0
 LIMIT_WINDOW_S = 4.0
 LIMIT_FACTOR = 1.5
@@ -177,9 +178,18 @@
             self.report.faults.append(fault.description)
             duration_s = self._random.uniform(*FAULT_DURATION_S)
             self._reactor.callLater(duration_s, fault.undo)
+            self._check_memory()
             await self._sleep(self._random.uniform(*FAULT_INTERVAL_S))
         await self._sleep(FAULT_DURATION_S[1])
 
+    def _check_memory(self) -> None:
+        for node in self._deployment.nodes:
+            resident_mb = node.resident_mb()
+            if resident_mb > MAX_RESIDENT_MB:
+                self._add_problem(
+                    f"memory: {node.endpoints.name} takes {resident_mb:.0f} MB"
+                )
+
     async def _run_without_faults(self) -> None:
         """Change the configuration and replace an upstream.
 
--- a/packages/soak/src/godwitflow/soak/processes.py
+++ b/packages/soak/src/godwitflow/soak/processes.py
@@ -2,6 +2,7 @@
 
 import os
 import pathlib
+import resource
 import signal
 import sys
 import typing
@@ -13,6 +14,7 @@
 
 MODULE = "godwitflow.adapter"
 RESTART_DELAY_S = 0.3
+BYTES_PER_MB = 1e6
 STARTUP_S = 5.0  # SIGTERM kills a node until its modules are imported
 
 
@@ -77,6 +79,16 @@
         except error.ProcessExitedAlready:
             self.running = False
 
+    def resident_mb(self) -> float:
+        """Return the memory that the program takes; 0 if it is not running."""
+        if not self.running:
+            return 0.0
+        try:
+            text = pathlib.Path(f"/proc/{self._process.pid}/statm").read_text()
+        except OSError:
+            return 0.0
+        return int(text.split()[1]) * resource.getpagesize() / BYTES_PER_MB
+
     def stop(self) -> None:
         """Send SIGTERM, also to a suspended program; do not restart it."""
         self._should_restart = False
--- a/packages/store/src/godwitflow/store/http.py
+++ b/packages/store/src/godwitflow/store/http.py
@@ -6,6 +6,7 @@
 lists names.
 """
 
+import re
 import typing
 import urllib.parse
 
@@ -24,6 +25,7 @@
 CALL_TIMEOUT_MS = 2_000.0
 CONNECT_TIMEOUT_S = 1.0
 VERSION_HEADER = "Object-Version"
+_VERSION = re.compile("[0-9]{1,19}")
 
 _NOT_SENT = (
     net_error.ConnectError,
@@ -122,7 +124,10 @@
             raise errors.StoreUnavailableError(f"{name}: status {code}")
         if code != 200:
             raise errors.StoreOutcomeUnknownError(f"{name}: status {code}")
-        return _version_of(headers)
+        written_version = _version_of(headers)
+        if written_version is None:
+            raise errors.StoreOutcomeUnknownError(f"{name}: malformed version")
+        return written_version
 
     async def watch(
         self, name: str, after: int, wait_ms: float
@@ -140,12 +145,18 @@
         code, _, body = await self._call("GET", path, CALL_TIMEOUT_MS)
         if code != 200:
             raise errors.StoreUnavailableError(f"list: status {code}")
-        return msgspec.json.decode(body, type=list[str])
+        try:
+            return msgspec.json.decode(body, type=list[str])
+        except (ValueError, RecursionError) as error:
+            raise errors.StoreUnavailableError(
+                f"the list of names is malformed: {error}"
+            ) from error
 
 
-def _version_of(headers: typing.Any) -> int:
+def _version_of(headers: typing.Any) -> int | None:
+    """Return the version in the headers; None if it is malformed."""
     values = headers.getRawHeaders(VERSION_HEADER) or ["0"]
-    return int(values[0])
+    return int(values[0]) if _VERSION.fullmatch(values[0]) else None
 
 
 def _versioned_value(
@@ -155,4 +166,7 @@
         raise errors.ObjectNotFoundError(name)
     if code != 200:
         raise errors.StoreUnavailableError(f"{name}: status {code}")
-    return versioned_store.VersionedValue(body, _version_of(headers))
+    version = _version_of(headers)
+    if version is None:
+        raise errors.StoreUnavailableError(f"{name}: malformed version")
+    return versioned_store.VersionedValue(body, version)
--- a/packages/store/src/godwitflow/store/vms.py
+++ b/packages/store/src/godwitflow/store/vms.py
@@ -4,6 +4,7 @@
 
 from godwitflow.model import errors
 from godwitflow.model import ids
+from godwitflow.store import raw_json
 
 LIST_NAME = "platform/vms"
 
@@ -17,15 +18,24 @@
     leaving: bool = False
 
 
-_decoder = msgspec.json.Decoder(tuple[Vm, ...])
-
-
 def decode(raw: bytes) -> tuple[Vm, ...]:
-    """Decode the list; raises :class:`errors.CodecError` if malformed."""
+    """Decode the list, leaving out the entries that cannot be read.
+
+    Raises :class:`errors.CodecError` if it is no list.
+    """
     try:
-        return _decoder.decode(raw)
-    except msgspec.MsgspecError as error:
+        entries = raw_json.split_array(raw)
+    except ValueError as error:
         raise errors.CodecError(f"malformed VM list: {error}") from error
+    decoded = [_decode_entry(entry) for entry in entries]
+    return tuple(vm for vm in decoded if vm is not None)
+
+
+def _decode_entry(raw: bytes) -> Vm | None:
+    try:
+        return msgspec.json.decode(raw, type=Vm)
+    except (ValueError, RecursionError):
+        return None
 
 
 def encode(vms: tuple[Vm, ...]) -> bytes:
--- a/packages/wire/src/godwitflow/wire/links.py
+++ b/packages/wire/src/godwitflow/wire/links.py
@@ -100,7 +100,12 @@
 
     def _send_batch(self, address: str, batch: list[messages.Message]) -> None:
         raw = codec.encode(self.header, batch)
-        if self._send_socket(address).send(raw):
+        try:
+            send_socket = self._send_socket(address)
+        except zmq.ZMQError:  # no endpoint; it must not hold up other peers
+            self.counters.unsent += len(batch)
+            return
+        if send_socket.send(raw):
             self.counters.sent += len(batch)
             self.counters.bytes_sent += len(raw)
         else:
--- a/packages/wire/src/godwitflow/wire/sockets.py
+++ b/packages/wire/src/godwitflow/wire/sockets.py
@@ -130,7 +130,10 @@
 
 
 class SendSocket:
-    """Sends envelopes to one peer without blocking."""
+    """Sends envelopes to one peer without blocking.
+
+    Raises :class:`zmq.ZMQError` if the address is no endpoint.
+    """
 
     def __init__(
         self,
@@ -148,7 +151,11 @@
             self.socket.curve_serverkey = server_key or keys.public
             self.socket.curve_publickey = keys.public
             self.socket.curve_secretkey = keys.secret
-        self.socket.connect(address)
+        try:
+            self.socket.connect(address)
+        except zmq.ZMQError:
+            self.socket.close(linger=0)
+            raise
 
     def send(self, raw: bytes) -> bool:
         """Queue an envelope; return False if the queue is full."""
--- a/packages/wire/tests/test_links.py
+++ b/packages/wire/tests/test_links.py
@@ -54,6 +54,19 @@
             await task.deferLater(reactor, POLL_S, lambda: None)
         return False
 
+    def test_address_that_is_no_endpoint_holds_up_no_other_peer(self):
+        async def work():
+            sender, _ = self.link("a")
+            receiver, received = self.link("b")
+            for odd in ("", "odd", "tcp://:x"):
+                sender.send(odd, messages.Ping(1))
+            sender.send(receiver.receive_socket.address, messages.Ping(2))
+            self.assertTrue(await self.wait_until(lambda: received))
+            self.assertEqual([("a", messages.Ping(2))], received)
+            self.assertEqual(3, sender.counters.unsent)
+
+        return defer.ensureDeferred(work())
+
     def test_messages_of_one_iteration_arrive_in_order(self):
         async def work():
             sender, _ = self.link("a")
