Follow what upstreams say of themselves in their responses (DRAIN, BUDGET)

An upstream that shuts down says so in all its responses, and one that turns a call away with 503 may name a time for which it wants none. Both were passed on to callers and not read: requests went on to an upstream that leaves for as long as the store said nothing, and to a full one at once.

First calls, retries, hedges, queued calls and calls that waited for a permit all ask it. Notices are kept by id and start time, so a repeated registration ends nothing and a new instance starts without any. A named time says nothing of health.

--- a/packages/policy/src/godwitflow/policy/replica_choice.py
+++ b/packages/policy/src/godwitflow/policy/replica_choice.py
@@ -126,6 +126,11 @@
         self._record_response(now_ms)
         self.consecutive_failures = 0
 
+    def on_pause(self, now_ms: float) -> None:
+        """Update from a response that asks for no calls for some time."""
+        self._record_response(now_ms)
+        self.consecutive_failures = 0
+
     def on_failure(self, now_ms: float) -> None:
         """Update from a failure; ``EJECT_AFTER`` in a row cause ejection."""
         self._record_failure(now_ms)
--- a/packages/tier/src/godwitflow/tier/dispatcher.py
+++ b/packages/tier/src/godwitflow/tier/dispatcher.py
@@ -22,10 +22,12 @@
 from godwitflow.policy import replica_choice
 from godwitflow.policy import retry_budget
 from godwitflow.policy import routing
+from godwitflow.policy import upstream_notices
 from godwitflow.tier import headers
 from godwitflow.tier import limit_watch as limit_watching
 from godwitflow.tier import log as logs
 from godwitflow.tier import metrics as metrics_module
+from godwitflow.tier import notice_watch as notice_watching
 from godwitflow.tier import outbound_request
 from godwitflow.tier import permits
 from godwitflow.tier import pool
@@ -88,6 +90,9 @@
         self.permits: permits.Permits
         self.call_count = 0
         self.random = random.Random(seed)
+        self.notice_watch = notice_watching.NoticeWatch(
+            header_names.leaving, log, metrics, random.Random(seed + 1)
+        )
         self._failure_domain = failure_domain
         self._traffic = traffic
         self._receive_memory = receive_memory.ReceiveMemory()
@@ -167,6 +172,7 @@
         service = self.service(upstream.registration.service)
         service.upstreams.remove(upstream)
         self.limit_watch.forget(upstream)
+        self.notice_watch.forget(upstream)
         upstream.pool.max_connections = 0
         upstream.pool.close_idle()
 
@@ -191,6 +197,7 @@
             connection_pool,
             replica_choice.ReplicaHealth(decayed_at_ms=self.now_ms()),
             entry.failure_domain != self._failure_domain,
+            notices=self.notice_watch.notices_of(entry),
         )
         self._upstreams[entry.upstream] = upstream
         service.upstreams.append(upstream)
@@ -227,13 +234,26 @@
     ) -> list[services.Upstream]:
         """Return the upstreams of a service that are not in ``tried``.
 
-        Upstreams that answered 421 (Misdirected Request) are left out.
+        Upstreams that answered 421 (Misdirected Request) are left out, and
+        so are those that asked for no calls. Those that leave are left out
+        while another one is expected to answer.
         """
-        return [
-            upstream
-            for upstream in service.upstreams
-            if not upstream.misdirected and upstream.name not in tried
-        ]
+        now_ms = self.now_ms()
+        normal = []
+        leaving = []
+        for upstream in service.upstreams:
+            if upstream.name in tried:
+                continue
+            match upstream.usage(now_ms):
+                case upstream_notices.Usage.NORMAL:
+                    normal.append(upstream)
+                case upstream_notices.Usage.LAST_CHOICE:
+                    leaving.append(upstream)
+        if leaving and all(
+            upstream.health.unavailable(now_ms) for upstream in normal
+        ):
+            return normal + leaving
+        return normal
 
     def find_upstream(
         self, name: ids.UpstreamId, started_at_ms: int
@@ -347,6 +367,10 @@
         needed_trial = upstream.health.needs_trial(now_ms)
         self._record_limit(upstream, elapsed_ms, outcome, rejected, now_ms)
         match outcome:
+            case upstreams.Replied(response) if self._record_notices(
+                upstream, response, now_ms
+            ):
+                upstream.health.on_pause(now_ms)
             case upstreams.Replied(response) if rejected:
                 self._record_rejection(upstream, response, now_ms)
             case upstreams.Replied(response) if response.status < 500:
@@ -365,6 +389,21 @@
                 elapsed_ms=round(elapsed_ms, 1),
             )
 
+    def _record_notices(
+        self,
+        upstream: services.Upstream,
+        response: messages.Response,
+        now_ms: float,
+    ) -> bool:
+        """Learn what the upstream says of itself.
+
+        Return whether it named a time, and so is neither slow nor faulty.
+        A 421 (Misdirected Request) is the response of another upstream.
+        """
+        if response.status == messages.MISDIRECTED:
+            return False
+        return self.notice_watch.on_response(upstream, response, now_ms)
+
     def _record_limit(
         self,
         upstream: services.Upstream,
--- a/packages/tier/src/godwitflow/tier/headers.py
+++ b/packages/tier/src/godwitflow/tier/headers.py
@@ -18,7 +18,7 @@
     rejection. ``part_signatures`` lists the signatures of the shards in
     a merged response, ``missing_parts`` counts the shards left out.
     ``rate_limit`` states how many calls a second an upstream takes from
-    all nodes together.
+    all nodes together. ``leaving`` says that an upstream shuts down.
     """
 
     request_id: bytes
@@ -29,6 +29,7 @@
     part_signatures: bytes
     missing_parts: bytes
     rate_limit: bytes
+    leaving: bytes
     request_id_out: bytes
     deadline_out: bytes
     expect_upstream_out: bytes
--- a/packages/tier/src/godwitflow/tier/node.py
+++ b/packages/tier/src/godwitflow/tier/node.py
@@ -95,6 +95,7 @@
             self.limit_watch,
         )
         self.dispatcher.on_crashes = self._broadcast_crashes
+        self.dispatcher.notice_watch.drain_ms = settings.bounds.drain_ms
         self.router = front.RequestRouter(self.dispatcher, log, seed)
         self.cluster_state = cluster_state.ClusterState(
             reactor,
@@ -252,6 +253,7 @@
             previous, bounds=settings.bounds, seeds=settings.seeds
         )
         self.dispatcher.apply_retry_limits(settings.bounds.retry)
+        self.dispatcher.notice_watch.drain_ms = settings.bounds.drain_ms
         self.directory.max_age_ms = settings.bounds.max_address_age_ms
         self._log.event(
             "reloaded",
@@ -362,6 +364,7 @@
             *self.metrics.lines(),
             *self.traffic.lines(),
             *self.limit_watch.lines(),
+            *self.dispatcher.notice_watch.lines(self._now_ms()),
             *self.permits.lines(),
             metrics.gauge_line("caller_connections", connections),
             metrics.gauge_line("members", len(members)),
@@ -390,6 +393,7 @@
 
     def _summarize_limited_calls(self) -> None:
         self.limit_watch.tick(self._now_ms())
+        self.dispatcher.notice_watch.tick(self._now_ms())
 
     def _check_timeouts(self) -> None:
         for listener in (
--- a/packages/tier/src/godwitflow/tier/results.py
+++ b/packages/tier/src/godwitflow/tier/results.py
@@ -15,6 +15,7 @@
     NO_BUDGET = "no_budget"
     FAILED = "failed"
     RATE_LIMITED = "rate_limited"
+    PAUSED = "paused"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/tier/src/godwitflow/tier/services.py
+++ b/packages/tier/src/godwitflow/tier/services.py
@@ -9,6 +9,7 @@
 from godwitflow.policy import registrations
 from godwitflow.policy import replica_choice
 from godwitflow.policy import retry_budget
+from godwitflow.policy import upstream_notices
 from godwitflow.tier import pool
 
 DEFAULT_CONNECTION_CAP = 8
@@ -20,9 +21,9 @@
 
     ``other_domain`` is set if it is in another failure domain than this
     node. ``misdirected`` is set once it has answered 421 (Misdirected
-    Request). ``call_starts`` holds the start times of calls in flight,
-    oldest first. A permit for a call was denied until
-    ``denied_until_ms``, and for an urgent call until
+    Request). ``notices`` is what it has said of itself. ``call_starts``
+    holds the start times of calls in flight, oldest first. A permit for a
+    call was denied until ``denied_until_ms``, and for an urgent call until
     ``urgent_denied_until_ms``.
     """
 
@@ -31,6 +32,9 @@
     health: replica_choice.ReplicaHealth
     other_domain: bool
     misdirected: bool = False
+    notices: upstream_notices.Notices = dataclasses.field(
+        default_factory=upstream_notices.Notices
+    )
     limit: rate_limits.KnownLimit = dataclasses.field(
         default_factory=rate_limits.KnownLimit
     )
@@ -48,6 +52,16 @@
         """Whether each call needs a permit."""
         return self.limit.calls_per_s is not None
 
+    def usage(self, now_ms: float) -> upstream_notices.Usage:
+        """Return what the upstream may be used for."""
+        if self.misdirected:
+            return upstream_notices.Usage.NONE
+        return self.notices.usage(now_ms)
+
+    def takes_calls(self, now_ms: float) -> bool:
+        """Return whether calls may be made at all."""
+        return self.usage(now_ms) is not upstream_notices.Usage.NONE
+
     def on_denied(self, urgent: bool, until_ms: float) -> None:
         """Record that no permit can be had until a point in time.
 
@@ -113,14 +127,15 @@
         that the next request is a trial call.
         """
         return all(
-            upstream.misdirected or upstream.health.unavailable(now_ms)
+            not upstream.takes_calls(now_ms)
+            or upstream.health.unavailable(now_ms)
             for upstream in self.upstreams
         )
 
     def callable(self, urgent: bool, now_ms: float) -> bool:
         """Return whether an upstream may be called and may answer."""
         return not all(
-            upstream.misdirected
+            not upstream.takes_calls(now_ms)
             or upstream.health.unavailable(now_ms)
             or upstream.denied(urgent, now_ms)
             for upstream in self.upstreams
@@ -129,10 +144,25 @@
     def needs_trial(self, now_ms: float) -> bool:
         """Return whether every upstream has to pass a trial call first."""
         return all(
-            upstream.misdirected or upstream.health.needs_trial(now_ms)
+            not upstream.takes_calls(now_ms)
+            or upstream.health.needs_trial(now_ms)
             for upstream in self.upstreams
         )
 
+    def back_in_ms(self, now_ms: float) -> float | None:
+        """Return when the first upstream takes calls again.
+
+        None if one takes calls now, or if none named a time.
+        """
+        if any(upstream.takes_calls(now_ms) for upstream in self.upstreams):
+            return None
+        pauses_ms = [
+            upstream.notices.paused_until_ms - now_ms
+            for upstream in self.upstreams
+            if upstream.notices.paused_until_ms > now_ms
+        ]
+        return min(pauses_ms, default=None)
+
     def dispatch_queue(self) -> None:
         """Send queued calls, most urgent first, while there is capacity."""
         if self._dispatching:
--- a/packages/tier/src/godwitflow/tier/settings.py
+++ b/packages/tier/src/godwitflow/tier/settings.py
@@ -13,12 +13,14 @@
     Times are in milliseconds. ``stop_grace_ms`` is the longest time
     from a stop request to the end of the process, ``max_address_age_ms``
     the longest time for which callers may use an address response, and
-    ``retry`` the limits on repeated calls.
+    ``retry`` the limits on repeated calls. ``drain_ms`` is for how long an
+    upstream that leaves still takes calls.
     """
 
     stop_grace_ms: float
     max_address_age_ms: float
     retry: retry_budget.RetryLimits
+    drain_ms: float = 3_000.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/tier/src/godwitflow/tier/single_handler.py
+++ b/packages/tier/src/godwitflow/tier/single_handler.py
@@ -9,6 +9,7 @@
 
 NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
 RATE_LIMITED_RETRY_AFTER_S = 0.4
+RETURN_SPREAD_S = 0.3
 
 
 class SingleHandler(request_handler.RequestHandler):
@@ -110,7 +111,9 @@
                     self._refuse(502, f"upstream call failed: {reason.value}")
                 else:
                     self._refuse(
-                        503, f"not run: {reason.value}", _retry_after_s(reason)
+                        503,
+                        f"not run: {reason.value}",
+                        self._retry_after_s(reason),
                     )
 
     def _on_disconnect(self) -> None:
@@ -120,13 +123,18 @@
         else:
             self._subrequest.detach()
 
-
-def _retry_after_s(reason: results.NoResponseReason) -> float:
-    match reason:
-        case results.NoResponseReason.RATE_LIMITED:
-            return RATE_LIMITED_RETRY_AFTER_S
-        case _:
-            return request_handler.RETRY_AFTER_S
+    def _retry_after_s(self, reason: results.NoResponseReason) -> float:
+        """Return when to come back; callers of a paused service are spread."""
+        now_ms = self.dispatcher.now_ms()
+        back_in_ms = self._subrequest.service.back_in_ms(now_ms)
+        match reason:
+            case results.NoResponseReason.PAUSED if back_in_ms is not None:
+                spread_s = self.dispatcher.random.random() * RETURN_SPREAD_S
+                return back_in_ms / request_handler.MS_PER_S + spread_s
+            case results.NoResponseReason.RATE_LIMITED:
+                return RATE_LIMITED_RETRY_AFTER_S
+            case _:
+                return request_handler.RETRY_AFTER_S
 
 
 def _content_length(response: messages.Response) -> messages.Headers:
--- a/packages/tier/src/godwitflow/tier/subrequest.py
+++ b/packages/tier/src/godwitflow/tier/subrequest.py
@@ -91,11 +91,16 @@
         """
         self.service.retry_budget.on_request(self.dispatcher.now_ms())
         if self._skip_unavailable and self.unavailable:
-            self._reason = results.NoResponseReason.UNAVAILABLE
+            self._reason = self._unavailable_reason()
             self._finish_if_idle()
             return
         self._send_or_enqueue()
 
+    def _unavailable_reason(self) -> results.NoResponseReason:
+        if self.service.back_in_ms(self.dispatcher.now_ms()) is None:
+            return results.NoResponseReason.UNAVAILABLE
+        return results.NoResponseReason.PAUSED
+
     # Sending ------------------------------------------------------------
 
     def _send_or_enqueue(self) -> None:
@@ -129,6 +134,8 @@
             ]
         if untried and not permitted:
             self._reason = results.NoResponseReason.RATE_LIMITED
+        if not untried and self.service.back_in_ms(now_ms) is not None:
+            self._reason = results.NoResponseReason.PAUSED
         unlimited = [item for item in permitted if not item.limited]
         return (self._permit_denied and unlimited) or permitted
 
@@ -187,7 +194,8 @@
             return
         if not issued:
             self._on_permit_denied(upstream, kind)
-        if issued and self._send_to(upstream, kind):
+        usable = upstream.takes_calls(self.dispatcher.now_ms())
+        if issued and usable and self._send_to(upstream, kind):
             return
         waiting = bool(self._in_flight or self._awaiting_permit)
         if waiting and kind is not limit_watch.CallKind.HEDGE:
--- a/packages/tier/tests/simulated_upstreams.py
+++ b/packages/tier/tests/simulated_upstreams.py
@@ -42,8 +42,9 @@
     ``executions`` holds the requests that it executed; ``rejected`` and
     ``cancelled`` count requests. ``arrived_at_ms`` holds the times at
     which requests arrived. ``rate_limits`` are the values of the header
-    that states a rate limit. ``transports`` holds all connections, also
-    the closed ones.
+    that states a rate limit, ``leaving`` those of the one that says that
+    it shuts down; ``retry_after`` is sent with each 503. ``transports``
+    holds all connections, also the closed ones.
     """
 
     name: str
@@ -57,6 +58,8 @@
     cancelled: int = 0
     arrived_at_ms: list = dataclasses.field(default_factory=list)
     rate_limits: tuple = ()
+    leaving: tuple = ()
+    retry_after: tuple = ()
     started_at_ms: int = 1
     transports: list = dataclasses.field(default_factory=list)
     slots: int = 0
@@ -163,9 +166,15 @@
                 self._reply(wait_s, 200, headers, upstream.body)
 
     def _reply(self, wait_s, status, headers, body, cut=False):
-        limits = [(b"X-Rate", value) for value in self.upstream.rate_limits]
+        upstream = self.upstream
+        stated = [(b"X-Rate", value) for value in upstream.rate_limits]
+        stated += [(b"X-Leaving", value) for value in upstream.leaving]
+        if status == 503:
+            stated += [
+                (b"Retry-After", value) for value in upstream.retry_after
+            ]
         data = messages.serialize_response(
-            messages.Response(status, b"", headers + limits, body), False
+            messages.Response(status, b"", headers + stated, body), False
         )
         deliver = self._deliver
         if cut:
--- a/packages/tier/tests/simulation.py
+++ b/packages/tier/tests/simulation.py
@@ -30,6 +30,7 @@
     part_signatures=b"x-parts",
     missing_parts=b"x-missing",
     rate_limit=b"x-rate",
+    leaving=b"x-leaving",
     request_id_out=b"X-Id",
     deadline_out=b"X-Left",
     expect_upstream_out=b"X-Expect",
