Check in the soak that upstreams which leave or pause get no calls

After the calm phase an upstream says that it leaves while the store is silent to all nodes, and all of a service name 2 s again and again; late requests and calls in a pause are counted for each process from what the upstreams saw. Upstreams that are replaced say that they leave, and times also occur at random, unreadable ones included.

--- a/packages/soak/src/godwitflow/soak/deployment.py
+++ b/packages/soak/src/godwitflow/soak/deployment.py
@@ -116,6 +116,7 @@
             self.history.record_arrival,
             service in SHARDS,
         )
+        upstream.on_notice = self.history.notices.append
         self.history.services[name] = service
         proxy = proxies.Proxy(self.reactor, upstream.listen(STORE_HOST))
         address = proxy.listen(STORE_HOST)
@@ -141,7 +142,9 @@
 
     def replace_upstream(self, name: str) -> None:
         """Start a replacement; the old upstream drains and is then removed."""
-        self.add_upstream(self.upstreams[name].upstream.service)
+        upstream = self.upstreams[name].upstream
+        upstream.leaving = True
+        self.add_upstream(upstream.service)
         self.register(name, "draining")
         self.reactor.callLater(DRAIN_WAIT_S, self._remove, name)
 
--- a/packages/soak/src/godwitflow/soak/faults.py
+++ b/packages/soak/src/godwitflow/soak/faults.py
@@ -30,6 +30,7 @@
 # Some of them are no limits.
 RATE_LIMITS = ("20", "4", "0.5", "0", "-1", "ten", "", "1e9")
 ODD_ENTRY_KINDS = ("servers", "members")
+PAUSES = ("0.5", "2", "0", "-1", "nan", "", "soon")
 STORE_FAULTS = tuple(
     fault
     for fault in fake_store.StoreFault
@@ -66,6 +67,7 @@
         _signal_node,
         _change_configuration,
         _limit_upstream,
+        _pause_upstream,
     )
     return rng.choice(injectors)(deployment, rng)
 
@@ -97,6 +99,22 @@
     return ActiveFault(f"{upstream.name} limit {upstream.rate_limit!r}", undo)
 
 
+def _pause_upstream(
+    deployment: deployments.Deployment, rng: random.Random
+) -> ActiveFault:
+    registered = rng.choice(list(deployment.upstreams.values()))
+    upstream = registered.upstream
+    upstream.fault = fake_upstream.Fault.REJECT
+    upstream.fault_share = rng.choice((0.2, 0.6, 1.0))
+    upstream.retry_after = rng.choice(PAUSES)
+
+    def undo() -> None:
+        upstream.fault_share = 0.0
+        upstream.retry_after = None
+
+    return ActiveFault(f"{upstream.name} wants {upstream.retry_after!r}", undo)
+
+
 def _disturb_upstream_link(
     deployment: deployments.Deployment, rng: random.Random
 ) -> ActiveFault:
--- a/packages/soak/src/godwitflow/soak/history.py
+++ b/packages/soak/src/godwitflow/soak/history.py
@@ -3,10 +3,12 @@
 import collections
 import dataclasses
 import enum
+import math
 
 from godwitflow.standins import fake_upstream
 
 NOT_RUN_STATUSES = (408, 421, 429, 503)
+PAUSE_SLACK_S = 0.5
 REGRESSION_SLACK_S = 0.25
 
 
@@ -51,7 +53,8 @@
     """Records what callers sent and upstreams received, for checking.
 
     ``requests`` are keyed by request id. ``services`` maps the name of
-    each upstream to its service.
+    each upstream to its service. ``notices`` are what upstreams said of
+    themselves in responses.
     """
 
     def __init__(self, shards: list[str]) -> None:
@@ -59,11 +62,55 @@
         self.requests: dict[str, RequestRecord] = {}
         self.arrivals: list[fake_upstream.Arrival] = []
         self.services: dict[str, str] = {}
+        self.notices: list[fake_upstream.Notice] = []
 
     def record_arrival(self, arrival: fake_upstream.Arrival) -> None:
         """Record a request that reached an upstream."""
         self.arrivals.append(arrival)
 
+    def late_after_leaving(self, upstream: str, drain_s: float) -> int:
+        """Return how many requests ran too late at one that leaves.
+
+        Each process has to send it no request that it got later than
+        ``drain_s`` after the first response which said so.
+        """
+        heard_at_s: dict[str, float] = {}
+        for notice in self.notices:
+            if notice.upstream == upstream and notice.pause_s is None:
+                process = self.requests[notice.request].process
+                heard_at_s.setdefault(process, notice.at_s)
+        late = 0
+        for arrival in self.arrivals:
+            record = self.requests[arrival.request]
+            heard_s = heard_at_s.get(record.process, math.inf)
+            if arrival.upstream == upstream and arrival.ran:
+                late += record.sent_at_s > heard_s + drain_s
+        return late
+
+    def most_calls_in_a_pause(self, upstream: str, from_s: float) -> int:
+        """Return the most requests of one process in a time without calls.
+
+        The time begins ``PAUSE_SLACK_S`` after the response that names it.
+        """
+        calls = [
+            (self.requests[arrival.request].process, arrival.at_s)
+            for arrival in self.arrivals
+            if arrival.upstream == upstream
+        ]
+        most = 0
+        for notice in self.notices:
+            if notice.upstream != upstream or notice.at_s < from_s:
+                continue
+            process = self.requests[notice.request].process
+            start_s = notice.at_s + PAUSE_SLACK_S
+            end_s = notice.at_s + (notice.pause_s or 0.0)
+            inside = [
+                caller == process and start_s < at_s < end_s
+                for caller, at_s in calls
+            ]
+            most = max(most, sum(inside))
+        return most
+
     def most_arrivals(
         self, upstream: str, window_s: float, from_s: float
     ) -> int:
--- a/packages/soak/src/godwitflow/soak/main.py
+++ b/packages/soak/src/godwitflow/soak/main.py
@@ -20,6 +20,8 @@
 from godwitflow.soak import deployment as deployments
 from godwitflow.soak import faults
 from godwitflow.soak import history as histories
+from godwitflow.soak import proxies
+from godwitflow.standins import fake_upstream
 from godwitflow.standins import fixtures
 
 FAULT_INTERVAL_S = (0.3, 1.2)
@@ -30,6 +32,8 @@
 STOP_TIMEOUT_S = 60.0
 MIN_SERVED_SHARE = 0.95
 CALLER_COUNT = 8
+PAUSE_S = 2.0
+MAX_CALLS_IN_A_PAUSE = 2
 MAX_RESIDENT_MB = 300.0
 LIMIT_CALLS_PER_S = 2.0
 LIMIT_WINDOW_S = 4.0
@@ -127,6 +131,8 @@
         if self._bounds:
             self._check_rate_limit(limited, settled_s)
         await self._silence_store_connections()
+        await self._let_an_upstream_leave()
+        await self._pause_a_service()
         await self._stop_nodes()
         for caller in self._callers:
             caller.stopped = True
@@ -135,11 +141,7 @@
     def _limit_a_shard(self) -> str:
         """Have an upstream of a shard state a limit; return its name."""
         shard = self._deployment.history.shards[0]
-        upstream = next(
-            registered.upstream
-            for registered in self._deployment.upstreams.values()
-            if registered.upstream.service == shard
-        )
+        upstream = self._upstreams_of(shard)[0]
         upstream.rate_limit = f"{LIMIT_CALLS_PER_S:g}"
         return upstream.name
 
@@ -264,6 +266,49 @@
         if self._bounds:
             self._check_configuration(start_s)
 
+    def _upstreams_of(self, service: str) -> list[fake_upstream.FakeUpstream]:
+        return [
+            registered.upstream
+            for registered in self._deployment.upstreams.values()
+            if registered.upstream.service == service
+        ]
+
+    async def _let_an_upstream_leave(self) -> None:
+        """Let an upstream say that it leaves while the store is silent."""
+        upstream = self._upstreams_of("solo")[0]
+        for proxy in self._deployment.store_proxies.values():
+            proxy.set_mode(proxies.Mode.DROP_BOTH)
+        upstream.leaving = True
+        await self._sleep(fixtures.DRAIN_S + FAULT_FREE_S)
+        for proxy in self._deployment.store_proxies.values():
+            proxy.set_mode(proxies.Mode.PASS)
+        late = self._deployment.history.late_after_leaving(
+            upstream.name, fixtures.DRAIN_S
+        )
+        if self._bounds and late:
+            self._add_problem(f"leaving: {late} requests at {upstream.name}")
+        self._deployment.replace_upstream(upstream.name)
+
+    async def _pause_a_service(self) -> None:
+        """Let its upstreams turn all away and name a time again and again."""
+        paused = self._upstreams_of("solo")
+        start_s = self._reactor.seconds()
+        for upstream in paused:
+            upstream.fault = fake_upstream.Fault.REJECT
+            upstream.fault_share = 1.0
+            upstream.retry_after = f"{PAUSE_S:g}"
+        await self._sleep(2.0 * PAUSE_S)
+        for upstream in paused:
+            upstream.fault_share = 0.0
+            upstream.retry_after = None
+        await self._sleep(PAUSE_S)
+        for upstream in paused:
+            calls = self._deployment.history.most_calls_in_a_pause(
+                upstream.name, start_s
+            )
+            if self._bounds and calls > MAX_CALLS_IN_A_PAUSE:
+                self._add_problem(f"paused: {calls} calls to {upstream.name}")
+
     async def _stop_nodes(self) -> None:
         """Stop all nodes under load and wait until they exit."""
         start_s = self._reactor.seconds()
--- a/packages/soak/tests/test_history.py
+++ b/packages/soak/tests/test_history.py
@@ -46,6 +46,50 @@
         self.assertEqual(0, history.most_arrivals("uc", 1.5, 0.0))
 
 
+class NoticesTest(unittest.TestCase):
+    def history(self, notices, arrivals):
+        """Return a history of (request, process, sent and arrived at)."""
+        history = histories.History(SHARDS)
+        for request, process, at_s in arrivals:
+            record = request_record(
+                Kind.IDEMPOTENT, request, process=process, sent_at_s=at_s
+            )
+            history.requests[request] = record
+            history.record_arrival(arrival(record, at_s=at_s))
+        history.notices = [
+            fake_upstream.Notice("ua", request, at_s, pause_s)
+            for request, at_s, pause_s in notices
+        ]
+        return history
+
+    def test_late_request_of_the_process_that_heard_it_is_found(self):
+        history = self.history(
+            [("a", 1.0, None), ("b", 2.0, None)],
+            [("a", "n0/0", 0.9), ("b", "n0/0", 3.9), ("c", "n0/0", 4.1)],
+        )
+        self.assertEqual(1, history.late_after_leaving("ua", 3.0))
+        other = self.history(
+            [("a", 1.0, None)], [("a", "n0/0", 0.9), ("c", "n1/0", 4.1)]
+        )
+        self.assertEqual(0, other.late_after_leaving("ua", 3.0))
+        self.assertEqual(0, history.late_after_leaving("ub", 3.0))
+
+    def test_calls_of_one_process_in_a_pause_are_counted(self):
+        history = self.history(
+            [("a", 1.0, 2.0)],
+            [
+                ("a", "n0/0", 0.9),
+                ("b", "n0/0", 1.4),
+                ("c", "n0/0", 1.6),
+                ("d", "n0/0", 2.9),
+                ("e", "n0/0", 3.1),
+                ("f", "n1/0", 2.0),
+            ],
+        )
+        self.assertEqual(2, history.most_calls_in_a_pause("ua", 0.0))
+        self.assertEqual(0, history.most_calls_in_a_pause("ua", 1.5))
+
+
 def gathered(request="r1", **changes):
     records = [
         record
