Tell callers of a query when enough shards are back

A query over shards that all asked for no calls was refused with a fixed time to come back, and refused again then.

--- a/packages/tier/src/godwitflow/tier/gather_handler.py
+++ b/packages/tier/src/godwitflow/tier/gather_handler.py
@@ -73,9 +73,30 @@
             f"{len(shards) - callable_count} of {len(shards)} shards are "
             "down or take no more calls"
         )
-        self._refuse(503, text, UNAVAILABLE_RETRY_AFTER_S)
+        retry_after_s = self._retry_after_s(UNAVAILABLE_RETRY_AFTER_S)
+        self._refuse(503, text, retry_after_s)
         return True
 
+    def _retry_after_s(self, default_s: float) -> float:
+        """Return when enough shards are back, by the times that they named."""
+        now_ms = self.dispatcher.now_ms()
+        shards = [
+            self.dispatcher.service(shard) for shard in self._gather.shards
+        ]
+        count = sum(
+            shard.callable(self.outbound.urgent, now_ms) for shard in shards
+        )
+        pauses_ms = sorted(
+            back_in_ms
+            for shard in shards
+            if (back_in_ms := shard.back_in_ms(now_ms)) is not None
+        )
+        for back_in_ms in pauses_ms:
+            count += 1
+            if self._gather.is_sufficient(count):
+                return self._spread_return_s(back_in_ms)
+        return default_s
+
     def _plan(self) -> request_timing.GatherTimes:
         outbound = self.outbound
         return request_timing.plan_gather(
@@ -211,7 +232,8 @@
         if possibly_executed:
             self._refuse(502, text)
         else:
-            self._refuse(503, text, request_handler.RETRY_AFTER_S)
+            retry_after_s = self._retry_after_s(request_handler.RETRY_AFTER_S)
+            self._refuse(503, text, retry_after_s)
 
     def _respond_with_parts(self) -> None:
         names = self.dispatcher.header_names
--- a/packages/tier/src/godwitflow/tier/request_handler.py
+++ b/packages/tier/src/godwitflow/tier/request_handler.py
@@ -12,6 +12,7 @@
 
 MS_PER_S = 1_000.0
 RETRY_AFTER_S = 0.15
+RETURN_SPREAD_S = 0.3
 SUCCESS_STATUSES = range(200, 300)
 
 
@@ -117,6 +118,14 @@
             elapsed_ms=round(self._elapsed_ms(), 1),
         )
 
+    def _spread_return_s(self, back_in_ms: float) -> float:
+        """Return when a caller may come back once a pause is over.
+
+        Callers are spread, so that they do not return all at once.
+        """
+        spread_s = self.dispatcher.random.random() * RETURN_SPREAD_S
+        return back_in_ms / MS_PER_S + spread_s
+
     def _refuse(
         self, status: int, reason: str, retry_after_s: float | None = None
     ) -> None:
--- a/packages/tier/src/godwitflow/tier/single_handler.py
+++ b/packages/tier/src/godwitflow/tier/single_handler.py
@@ -9,7 +9,6 @@
 
 NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
 RATE_LIMITED_RETRY_AFTER_S = 0.4
-RETURN_SPREAD_S = 0.3
 
 
 class SingleHandler(request_handler.RequestHandler):
@@ -124,13 +123,12 @@
             self._subrequest.detach()
 
     def _retry_after_s(self, reason: results.NoResponseReason) -> float:
-        """Return when to come back; callers of a paused service are spread."""
+        """Return when the caller may come back."""
         now_ms = self.dispatcher.now_ms()
         back_in_ms = self._subrequest.service.back_in_ms(now_ms)
         match reason:
             case results.NoResponseReason.PAUSED if back_in_ms is not None:
-                spread_s = self.dispatcher.random.random() * RETURN_SPREAD_S
-                return back_in_ms / request_handler.MS_PER_S + spread_s
+                return self._spread_return_s(back_in_ms)
             case results.NoResponseReason.RATE_LIMITED:
                 return RATE_LIMITED_RETRY_AFTER_S
             case _:
--- a/packages/tier/tests/test_notice_watch.py
+++ b/packages/tier/tests/test_notice_watch.py
@@ -140,6 +140,18 @@
         self.assertEqual(2, len(logged(sim, "upstream_paused")))
         self.assertEqual(2, len(logged(sim, "upstream_resumed")))
 
+    def test_caller_of_a_query_is_told_when_enough_shards_are_back(self):
+        sim = simulation.Simulation(shards=4, replicas=1)
+        for service, pause in (("s0", b"2"), ("s1", b"4")):
+            helpers.set_all(
+                sim, service, mode=Mode.REJECT, retry_after=(pause,)
+            )
+        sim.request(b"/all/")
+        refused = sim.request(b"/all/")
+        self.assertEqual(503, refused.response.status)
+        self.assertGreater(retry_after_s(refused), 1.8)
+        self.assertLess(retry_after_s(refused), 2.6)
+
     def test_queued_requests_are_refused_when_all_are_paused(self):
         sim = simulation.Simulation(replicas=1)
         (upstream,) = sim.services["one"]
