Read decimal numbers in headers in one place

The times that upstreams name and their rate limits are read by the same rules: plain decimals of at most 32 bytes, nothing else. No behaviour changes; the tests are as before, two constants have a new name.

--- a/packages/policy/src/godwitflow/policy/rate_limits.py
+++ b/packages/policy/src/godwitflow/policy/rate_limits.py
@@ -8,17 +8,14 @@
 """
 
 import dataclasses
-import re
 import typing
 
 from godwitflow.model import ids
+from godwitflow.policy import header_decimals
 
 # An upstream that states less is still called this often, or the end of
 # its limit would never be heard.
 MIN_CALLS_PER_S = 0.2
-MAX_STATEMENT_BYTES = 32
-
-_DECIMAL = re.compile(rb"[0-9]+(\.[0-9]*)?|\.[0-9]+")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -58,18 +55,10 @@
     """
     if not values:
         return NotStated()
-    rates = [rate for value in values if (rate := _parse(value)) is not None]
+    rates = header_decimals.read(values)
     if rates:
         return Stated(max(MIN_CALLS_PER_S, min(rates)))
-    text = b", ".join(values)[:MAX_STATEMENT_BYTES]
-    return Unreadable(text.decode("latin-1"))
-
-
-def _parse(value: bytes) -> float | None:
-    digits = value.strip()
-    if len(digits) > MAX_STATEMENT_BYTES or not _DECIMAL.fullmatch(digits):
-        return None
-    return float(digits)
+    return Unreadable(header_decimals.shorten(values))
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/policy/src/godwitflow/policy/upstream_notices.py
+++ b/packages/policy/src/godwitflow/policy/upstream_notices.py
@@ -8,21 +8,18 @@
 
 import dataclasses
 import enum
-import re
 import typing
 
 from godwitflow.model import ids
+from godwitflow.policy import header_decimals
 
 MAX_PAUSE_MS = 300_000.0
 # Calls of requests that were received in time may wait a little longer.
 LEAVING_USE_SHARE = 0.8
 RESUME_SPREAD_SHARE = 0.1
 MAX_INSTANCES = 10_000
-MAX_STATEMENT_BYTES = 32
 MS_PER_S = 1_000.0
 
-_DECIMAL = re.compile(rb"[0-9]+(\.[0-9]*)?|\.[0-9]+")
-
 
 class Usage(enum.Enum):
     """What an upstream may be used for."""
@@ -111,16 +108,10 @@
     """
     if not values:
         return NoPauseStated()
-    times_s = [
-        float(digits)
-        for value in values
-        if len(digits := value.strip()) <= MAX_STATEMENT_BYTES
-        and _DECIMAL.fullmatch(digits)
-    ]
+    times_s = header_decimals.read(values)
     if times_s:
         return PauseStated(max(times_s) * MS_PER_S)
-    text = b", ".join(values)[:MAX_STATEMENT_BYTES]
-    return PauseUnreadable(text.decode("latin-1"))
+    return PauseUnreadable(header_decimals.shorten(values))
 
 
 class NoticeBook:
--- a/packages/policy/tests/test_rate_limits.py
+++ b/packages/policy/tests/test_rate_limits.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies
 
 from godwitflow.model import ids
+from godwitflow.policy import header_decimals
 from godwitflow.policy import rate_limits
 
 NODE = ids.NodeId("n1")
@@ -79,7 +80,7 @@
                 )
             case rate_limits.Unreadable(text):
                 self.assertLessEqual(
-                    len(text), rate_limits.MAX_STATEMENT_BYTES
+                    len(text), header_decimals.MAX_BYTES
                 )
             case other:
                 self.fail(f"{other}")
--- a/packages/policy/tests/test_upstream_notices.py
+++ b/packages/policy/tests/test_upstream_notices.py
@@ -7,6 +7,7 @@
 import hypothesis
 from hypothesis import strategies
 
+from godwitflow.policy import header_decimals
 from godwitflow.policy import upstream_notices as notices
 
 DRAIN_MS = 3_000.0
@@ -74,7 +75,7 @@
                 self.assertGreaterEqual(pause_ms, 0.0)
                 self.assertFalse(math.isnan(pause_ms))
             case notices.PauseUnreadable(text):
-                self.assertLessEqual(len(text), notices.MAX_STATEMENT_BYTES)
+                self.assertLessEqual(len(text), header_decimals.MAX_BYTES)
             case notices.NoPauseStated():
                 self.assertEqual([], values)
 
@@ -116,4 +117,5 @@
 def load_tests(loader, tests, pattern):
     """Add the doctests."""
     tests.addTests(doctest.DocTestSuite(notices))
+    tests.addTests(doctest.DocTestSuite(header_decimals))
     return tests
