Move the watched revision only once its changes are applied

Should an error end the application of an answer's changes, the next watch asks for them again in place of skipping them. The dispatcher reads what upstreams say of themselves before it judges the outcome, not in the middle of a match.

--- a/packages/policy/tests/test_rate_limits.py
+++ b/packages/policy/tests/test_rate_limits.py
@@ -79,9 +79,7 @@
                     calls_per_s, rate_limits.MIN_CALLS_PER_S
                 )
             case rate_limits.Unreadable(text):
-                self.assertLessEqual(
-                    len(text), header_decimals.MAX_BYTES
-                )
+                self.assertLessEqual(len(text), header_decimals.MAX_BYTES)
             case other:
                 self.fail(f"{other}")
 
--- a/packages/tier/src/godwitflow/tier/dispatcher.py
+++ b/packages/tier/src/godwitflow/tier/dispatcher.py
@@ -366,10 +366,9 @@
         now_ms = self.now_ms()
         needed_trial = upstream.health.needs_trial(now_ms)
         self._record_limit(upstream, elapsed_ms, outcome, rejected, now_ms)
+        paused = self._record_notices(upstream, outcome, now_ms)
         match outcome:
-            case upstreams.Replied(response) if self._record_notices(
-                upstream, response, now_ms
-            ):
+            case upstreams.Replied() if paused:
                 upstream.health.on_pause(now_ms)
             case upstreams.Replied(response) if rejected:
                 self._record_rejection(upstream, response, now_ms)
@@ -392,7 +391,7 @@
     def _record_notices(
         self,
         upstream: services.Upstream,
-        response: messages.Response,
+        outcome: upstreams.Outcome,
         now_ms: float,
     ) -> bool:
         """Learn what the upstream says of itself.
@@ -400,9 +399,15 @@
         Return whether it named a time, and so is neither slow nor faulty.
         A 421 (Misdirected Request) is the response of another upstream.
         """
-        if response.status == messages.MISDIRECTED:
-            return False
-        return self.notice_watch.on_response(upstream, response, now_ms)
+        match outcome:
+            case upstreams.Replied(response) if (
+                response.status != messages.MISDIRECTED
+            ):
+                return self.notice_watch.on_response(
+                    upstream, response, now_ms
+                )
+            case _:
+                return False
 
     def _record_limit(
         self,
--- a/packages/tier/src/godwitflow/tier/follower.py
+++ b/packages/tier/src/godwitflow/tier/follower.py
@@ -168,7 +168,6 @@
             max(copied_revision, self._watched_revision),
             self._wait_ms(),
         )
-        self._watched_revision = watched.revision
         now_ms = self._context.now_ms()
         self._reached_at_ms = now_ms
         elapsed_ms = now_ms - self._revision_advanced_at_ms
@@ -182,6 +181,7 @@
                 watched.changes,
             )
             self._apply(delta, from_store=True)
+        self._watched_revision = watched.revision
         if watched.changes:
             await self._sleep(BATCH_DELAY_MS)
 
