Parse each address once

Every datagram and every member row in it has its addresses checked. Longer text than an address can have is refused before the cache.

--- a/packages/model/src/godwitflow/model/addresses.py
+++ b/packages/model/src/godwitflow/model/addresses.py
@@ -1,11 +1,16 @@
 """Network addresses of the form ``IP:PORT``, with IPv4 and no names."""
 
+import functools
 import ipaddress
+import re
 
 from godwitflow.model import errors
 
 MAX_PORT = 65_535
-MAX_PORT_DIGITS = 5
+MAX_LENGTH = len("255.255.255.255:65535")
+CACHED_ADDRESSES = 16_384
+
+_HOST_AND_PORT = re.compile(r"([0-9.]+):([0-9]{1,5})")
 
 
 def split(address: str) -> tuple[str, int]:
@@ -14,18 +19,10 @@
     >>> split("10.0.0.1:80")
     ('10.0.0.1', 80)
     """
-    host, _, port = address.rpartition(":")
-    if not port.isascii() or not port.isdigit():
-        raise errors.AddressError(f"{address!r:.60} has no port")
-    if len(port) > MAX_PORT_DIGITS or not 0 < int(port) <= MAX_PORT:
-        raise errors.AddressError(f"{address!r:.60} has an invalid port")
-    try:
-        ipaddress.IPv4Address(host)
-    except ValueError as error:
-        raise errors.AddressError(
-            f"{address!r:.60} has no IPv4 address"
-        ) from error
-    return host, int(port)
+    parsed = _parse(address) if len(address) <= MAX_LENGTH else None
+    if parsed is None:
+        raise errors.AddressError(f"{address!r:.60} is not IP:PORT")
+    return parsed
 
 
 def is_valid(address: str) -> bool:
@@ -34,8 +31,16 @@
     >>> is_valid("10.0.0.1:80"), is_valid("10.0.0.1:65536")
     (True, False)
     """
+    return len(address) <= MAX_LENGTH and _parse(address) is not None
+
+
+@functools.lru_cache(maxsize=CACHED_ADDRESSES)
+def _parse(address: str) -> tuple[str, int] | None:
+    match = _HOST_AND_PORT.fullmatch(address)
+    if match is None or not 0 < int(match[2]) <= MAX_PORT:
+        return None
     try:
-        split(address)
-    except errors.AddressError:
-        return False
-    return True
+        ipaddress.IPv4Address(match[1])
+    except ValueError:
+        return None
+    return match[1], int(match[2])
