--- a/packages/tier/tests/test_replication.py
+++ b/packages/tier/tests/test_replication.py
@@ -300,29 +300,31 @@
             ]
             self.assertTrue(all(received), fault)
 
-    def test_change_arrives_in_time_while_watchers_hear_nothing(self):
-        # They vouched for the store until their watch timed out after 9.5 s.
+    def assert_change_arrives_in_time(self, disturb):
+        """Disturb fleets at several moments, and write a change each time."""
         for phase_ms in range(0, 2_000, 200):
             fleet = Fleet(9)
             fleet.advance(3_000.0 + phase_ms)
-            silent = {node.name for node in fleet.in_sync_nodes()}
-            self.assertEqual(3, len(silent))
-            fleet.store.is_silent_to = lambda caller: caller in silent
+            disturb(fleet)
             fleet.advance(20.0)
             fleet.store.write(KIND, "b", {})
             fleet.advance(MAX_DELAY_MS)
             self.assertTrue(all(self.nodes_have(fleet, "b")), phase_ms)
 
+    def test_change_arrives_in_time_while_watchers_hear_nothing(self):
+        # They vouched for the store until their watch timed out after 9.5 s.
+        def silence_watchers(fleet):
+            silent = {node.name for node in fleet.in_sync_nodes()}
+            self.assertEqual(3, len(silent))
+            fleet.store.is_silent_to = lambda caller: caller in silent
+
+        self.assert_change_arrives_in_time(silence_watchers)
+
     def test_change_arrives_in_time_when_open_connections_fall_silent(self):
         # All nodes kept the old configuration until their watches timed out.
-        for phase_ms in range(0, 2_000, 200):
-            fleet = Fleet(9)
-            fleet.advance(3_000.0 + phase_ms)
-            fleet.store.silence_open_connections()
-            fleet.advance(20.0)
-            fleet.store.write(KIND, "b", {})
-            fleet.advance(MAX_DELAY_MS)
-            self.assertTrue(all(self.nodes_have(fleet, "b")), phase_ms)
+        self.assert_change_arrives_in_time(
+            lambda fleet: fleet.store.silence_open_connections()
+        )
 
     def test_change_arrives_in_time_while_first_ranks_hear_nothing(self):
         fleet = Fleet(64)
