--- a/packages/http1/src/godwitflow/http1/callers.py
+++ b/packages/http1/src/godwitflow/http1/callers.py
@@ -16,8 +16,10 @@
 from twisted.internet import protocol
 
 from godwitflow.http1 import messages
+from godwitflow.http1 import send_queue
 
 LINGERING_CLOSE_MS = 1_000.0
+MAX_LINGERING_SEND_MS = 30_000.0
 MAX_QUEUED_REQUESTS = 8
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
@@ -302,7 +304,13 @@
         self.start_lingering_close()
 
     def start_lingering_close(self) -> None:
-        """Close the sending side, and read on so that no reset is sent."""
+        """Close the sending side, and read on so that no reset is sent.
+
+        What was written is sent first. A reset would discard what the caller
+        has not received yet, so it is sent only ``LINGERING_CLOSE_MS`` after
+        the caller has everything, or if it takes
+        ``MAX_LINGERING_SEND_MS``.
+        """
         self.state = State.CLOSING
         self.state_since_ms = self.server.now_ms()
         self.transport.loseWriteConnection()
@@ -312,7 +320,7 @@
         waited_ms = now_ms - self.state_since_ms
         limits = self.server.limits
         match self.state:
-            case State.CLOSING if waited_ms > LINGERING_CLOSE_MS:
+            case State.CLOSING if waited_ms > self._lingering_ms():
                 self.transport.abortConnection()
             case State.READING if waited_ms > limits.header_timeout_ms:
                 self.respond_and_close(
@@ -322,3 +330,10 @@
                 self.start_lingering_close()
             case _:
                 pass
+
+    def _lingering_ms(self) -> float:
+        """Return how long a closed sending side is waited for."""
+        handle = getattr(self.transport, "getHandle", None)
+        if handle is not None and send_queue.unsent_bytes(handle()):
+            return MAX_LINGERING_SEND_MS
+        return LINGERING_CLOSE_MS
--- a/packages/http1/tests/test_callers.py
+++ b/packages/http1/tests/test_callers.py
@@ -1,5 +1,8 @@
 """Tests of the server side of a caller's connection."""
 
+import contextlib
+import socket
+import time
 import tracemalloc
 import unittest
 
@@ -9,6 +12,7 @@
 
 from godwitflow.http1 import callers
 from godwitflow.http1 import messages
+from godwitflow.http1 import send_queue
 
 GET = b"GET /a/b?c=1 HTTP/1.1\r\nHost: a.example\r\nRequest-Id: 1\r\n\r\n"
 POST = b"POST /x HTTP/1.1\r\nHost: a.example\r\nContent-Length: 5\r\n\r\nhello"
@@ -80,6 +84,17 @@
     return requests, connection.transport.written
 
 
+@contextlib.contextmanager
+def slow_caller():
+    """Yield the two sides of a TCP connection; nobody reads them."""
+    with socket.create_server(("127.0.0.1", 0)) as listening:
+        caller = socket.create_connection(listening.getsockname())
+        accepted, _ = listening.accept()
+        accepted.setblocking(False)
+        with caller, accepted:
+            yield caller, accepted
+
+
 class CallerConnectionTest(unittest.TestCase):
     def test_request_of_a_disconnected_caller_is_not_started(self):
         for result, starts in (
@@ -213,6 +228,37 @@
         self.assertTrue(idle.transport.write_closed)
         self.assertEqual(b"", idle.transport.written)
 
+    def test_response_that_is_still_being_sent_is_not_cut(self):
+        # A stopping node reset what a slow caller had not received after 1 s.
+        with slow_caller() as (caller, accepted):
+            server = RecordingServer()
+            connection = connect(server)
+            connection.transport.getHandle = lambda: accepted
+            connection.dataReceived(GET)
+            server.closing = True
+            unread = accepted.send(b"x" * 4_000_000)
+            server.exchanges[0].respond(messages.text_response(200, "ok"))
+            connection.check_timeouts(2_000.0)
+            self.assertFalse(connection.transport.aborted)
+            while unread > 0:
+                unread -= len(caller.recv(65_536))
+            while send_queue.unsent_bytes(accepted):
+                time.sleep(0.01)  # the kernel acknowledges soon
+            connection.check_timeouts(2_000.0)
+            self.assertTrue(connection.transport.aborted)
+
+    def test_caller_that_never_reads_is_reset_in_the_end(self):
+        with slow_caller() as (_, accepted):
+            server = RecordingServer()
+            connection = connect(server)
+            connection.transport.getHandle = lambda: accepted
+            accepted.send(b"x" * 4_000_000)
+            connection.start_lingering_close()
+            connection.check_timeouts(29_000.0)
+            self.assertFalse(connection.transport.aborted)
+            connection.check_timeouts(31_000.0)
+            self.assertTrue(connection.transport.aborted)
+
     def test_stopping_server_closes_after_the_response(self):
         server = RecordingServer()
         connection = connect(server)
