--- a/packages/policy/tests/test_crash_history.py
+++ b/packages/policy/tests/test_crash_history.py
@@ -28,6 +28,32 @@
         self.history.clear(FINGERPRINT)
         self.assertFalse(self.history.is_blocked(FINGERPRINT, 2.0))
 
+    def test_what_peers_know_is_merged_and_not_added(self):
+        self.history.record_crashes(FINGERPRINT, 2, 100.0)
+        peer = crash_history.BlockedRequest(FINGERPRINT, 1, 2, 90.0)
+        for _ in range(5):
+            self.history.merge(peer)
+        self.assertFalse(self.history.is_blocked(FINGERPRINT, 101.0))
+
+    def test_blocked_requests_are_told_with_the_time_of_the_last_strike(self):
+        for at_ms in (0.0, 5_000.0):
+            self.history.record_crashes(FINGERPRINT, 2, at_ms)
+        self.history.record_crashes(1, 2, 6_000.0)
+        (told,) = self.history.blocked(7_000.0)
+        started = crash_history.CrashHistory()
+        started.merge(told)
+        self.assertTrue(started.is_blocked(FINGERPRINT, 605_000.0))
+        self.assertFalse(started.is_blocked(FINGERPRINT, 605_001.0))
+        self.assertEqual([], self.history.blocked(605_001.0))
+
+    def test_few_blocked_requests_are_told_the_latest_first(self):
+        for number in range(200):
+            for _ in range(2):
+                self.history.record_crashes(number, 2, float(number))
+        told = self.history.blocked(300.0)
+        self.assertEqual(crash_history.MAX_TOLD_ENTRIES, len(told))
+        self.assertEqual(199, told[0].fingerprint)
+
     def test_table_is_bounded(self):
         for number in range(crash_history.MAX_ENTRIES + 10):
             self.history.record_crashes(number, 5, float(number))
--- a/packages/tier/src/godwitflow/tier/node.py
+++ b/packages/tier/src/godwitflow/tier/node.py
@@ -16,6 +16,7 @@
 from godwitflow.http1 import callers
 from godwitflow.http1 import messages as http_messages
 from godwitflow.model import ids
+from godwitflow.policy import crash_history
 from godwitflow.policy import node_load
 from godwitflow.policy import registrations
 from godwitflow.policy import routing
@@ -311,10 +312,38 @@
     def on_suspicions(self, message: messages.Suspicions) -> None:
         """Process a peer's reports of requests that crash upstreams."""
         now_ms = self._now_ms()
+        history = self.dispatcher.crash_history
         for entry in message.entries:
-            self.dispatcher.crash_history.record_crashes(
-                entry.fingerprint, entry.crashes, now_ms
+            if entry.runs:
+                last_at_ms = now_ms - max(0.0, entry.age_ms)
+                history.merge(
+                    crash_history.BlockedRequest(
+                        entry.fingerprint,
+                        entry.runs,
+                        entry.crashes,
+                        last_at_ms,
+                    )
+                )
+            else:
+                history.record_crashes(
+                    entry.fingerprint, entry.crashes, now_ms
+                )
+
+    def suspicions(self) -> messages.Suspicions:
+        """Return the requests that this node refuses."""
+        now_ms = self._now_ms()
+        blocked = self.dispatcher.crash_history.blocked(now_ms)
+        return messages.Suspicions(
+            tuple(
+                messages.Suspicion(
+                    request.fingerprint,
+                    request.crashes,
+                    round(now_ms - request.last_at_ms, 1),
+                    request.runs,
+                )
+                for request in blocked
             )
+        )
 
     def on_upstream_reports(self, message: messages.UpstreamReports) -> None:
         """Process a peer's reports on upstreams."""
--- a/packages/tier/src/godwitflow/tier/peer_protocol.py
+++ b/packages/tier/src/godwitflow/tier/peer_protocol.py
@@ -42,6 +42,10 @@
         """Process a peer's reports of requests that crash upstreams."""
         ...
 
+    def suspicions(self) -> messages.Suspicions:
+        """Return the requests that this node refuses."""
+        ...
+
     def on_upstream_reports(self, message: messages.UpstreamReports) -> None:
         """Process a peer's reports on upstreams."""
         ...
@@ -246,6 +250,7 @@
                 if digest != self.membership.table_digest():
                     self._send_table(header.inner_address)
                 self._send(header.inner_address, [self._handler.revisions()])
+                self._send_suspicions(header.inner_address)
             case messages.Revisions():
                 self._handler.on_revisions(header.inner_address, message)
             case messages.Suspicions():
@@ -263,6 +268,12 @@
             case _:
                 self.rejected_count += 1
 
+    def _send_suspicions(self, inner_address: str) -> None:
+        """Tell a node that may have just started what it must not run."""
+        suspicions = self._handler.suspicions()
+        if suspicions.entries:
+            self._send(inner_address, [suspicions])
+
     def _send_table(self, inner_address: str) -> None:
         members = self.membership.all_members()
         for start in range(0, len(members), MEMBERS_PER_DATAGRAM):
--- a/packages/tier/tests/test_node.py
+++ b/packages/tier/tests/test_node.py
@@ -9,6 +9,7 @@
 from godwitflow.policy import node_load
 from godwitflow.policy import retry_budget
 from godwitflow.tier import settings
+from godwitflow.wire import codec
 from godwitflow.wire import messages
 
 
@@ -60,6 +61,25 @@
         (entry,) = fixture.store.listing("members").objects
         self.assertEqual("10.0.0.1:5", entry.spec["inner"])
 
+    def test_starting_node_learns_which_requests_crash_upstreams(self):
+        # It ran them again, as peers had told it of no earlier strike.
+        fixture = node_fixture.serving_node()
+        history = fixture.node.dispatcher.crash_history
+        for _ in range(2):
+            history.record_crashes(5, 2, fixture.node._now_ms())
+        told = []
+        fixture.node.peers.transport = fixture.reactor
+        fixture.reactor.write = lambda data, address: told.append(data)
+        header = codec.Header(codec.VERSION, "n2", 7, "10.0.0.2:5")
+        pull = codec.encode(header, [messages.MembersPull()])
+        fixture.node.peers.datagramReceived(pull, ("10.0.0.2", 5))
+        started = node_fixture.serving_node()
+        for data in told:
+            started.node.peers.datagramReceived(data, ("10.0.0.1", 5))
+        now_ms = started.node._now_ms()
+        started_history = started.node.dispatcher.crash_history
+        self.assertTrue(started_history.is_blocked(5, now_ms))
+
     def test_stop_withdraws_address_and_finishes_requests(self):
         fixture = node_fixture.NodeFixture()
         fixture.fill_store()
--- a/packages/tier/tests/test_odd_messages.py
+++ b/packages/tier/tests/test_odd_messages.py
@@ -65,7 +65,7 @@
         messages.Revisions(
             (messages.KindRevision("upstreams", 1, True, 3.0),)
         ),
-        messages.Suspicions((messages.Suspicion(5, 1, 2.0),)),
+        messages.Suspicions((messages.Suspicion(5, 1, 2.0, 1),)),
         messages.UpstreamReports((messages.UpstreamReport("u1", 2, 1.5, 1),)),
         messages.LimitReports((messages.LimitReport("u1", 1, 1_000.0, 2.0),)),
         messages.PermitRequest(False, (want,)),
--- a/packages/tier/tests/test_peer_protocol.py
+++ b/packages/tier/tests/test_peer_protocol.py
@@ -38,6 +38,9 @@
     def revisions(self):
         return messages.Revisions(())
 
+    def suspicions(self):
+        return messages.Suspicions(())
+
 
 class RecordingHandler(IgnoringHandler):
     """Records what it receives about rate limits."""
--- a/packages/wire/src/godwitflow/wire/messages.py
+++ b/packages/wire/src/godwitflow/wire/messages.py
@@ -233,11 +233,16 @@
 
 
 class Suspicion(msgspec.Struct, frozen=True, array_like=True):
-    """A request fingerprint and its number of upstream crashes."""
+    """A request fingerprint and its number of upstream crashes.
+
+    Without ``runs`` it reports one more run of the request, else all runs
+    that the sender knows of; the last one was ``age_ms`` ago.
+    """
 
     fingerprint: ids.Fingerprint
     crashes: Count
     age_ms: Milliseconds
+    runs: Count = 0
 
 
 class Suspicions(msgspec.Struct, frozen=True, array_like=True, tag=13):
