--- a/packages/tier/tests/test_node.py
+++ b/packages/tier/tests/test_node.py
@@ -55,6 +55,20 @@
         )
         self.assertIn(b"ttl 0.7", fixture.request(3))
 
+    def test_changed_settings_keep_what_upstreams_said(self):
+        fixture = node_fixture.serving_node()
+        fixture.upstream.leaving = (b"1",)
+        fixture.request(1, b"/one/")
+        current = fixture.node._settings
+        bounds = dataclasses.replace(current.bounds, drain_ms=9_000.0)
+        fixture.node.apply_settings(
+            dataclasses.replace(current, bounds=bounds)
+        )
+        fixture.advance(3_000.0)
+        arrived = len(fixture.upstream.arrived_at_ms)
+        self.assertIn(b" 503 ", fixture.request(1, b"/one/"))
+        self.assertEqual(arrived, len(fixture.upstream.arrived_at_ms))
+
     def test_first_start_registers_node_in_store(self):
         fixture = node_fixture.NodeFixture()
         fixture.advance(100.0)
