Keep the cap of upstreams with more nodes than connections

What callers would see: upstreams reset the connections beyond their cap, and the requests on them are tried elsewhere or lost.

Cause: an even share of the cap is less than one connection, and was rounded up to one for every node.

Change: where a service's upstreams take fewer connections than there are nodes, each node is assigned some of the upstreams.

Property tests: no upstream is assigned to more nodes than its cap, and every node has one while the caps together suffice.

--- a/packages/tier/src/godwitflow/tier/dispatcher.py
+++ b/packages/tier/src/godwitflow/tier/dispatcher.py
@@ -17,12 +17,14 @@
 from godwitflow.model import ids
 from godwitflow.policy import crash_history
 from godwitflow.policy import observations
+from godwitflow.policy import ownership
 from godwitflow.policy import quantile
 from godwitflow.policy import registrations
 from godwitflow.policy import replica_choice
 from godwitflow.policy import retry_budget
 from godwitflow.policy import routing
 from godwitflow.policy import upstream_notices
+from godwitflow.tier import connection_shares
 from godwitflow.tier import headers
 from godwitflow.tier import limit_watch as limit_watching
 from godwitflow.tier import log as logs
@@ -80,8 +82,7 @@
         self.reactor = reactor
         self.now_ms = now_ms
         self.header_names = header_names
-        self.node_count = 1
-        self._cap_divisor = 1
+        self._shares = connection_shares.ConnectionShares(limit_watch.node)
         self.crash_history = crash_history.CrashHistory()
         self._observations = observations.Observations()
         self.on_crashes: typing.Callable[[ids.Fingerprint, int], None] = (
@@ -112,10 +113,16 @@
             self.service(service.name).connection_cap = service.connection_cap
         self._update_connection_limits()
 
-    def apply_node_count(self, node_count: int) -> None:
-        """Set the number of nodes that share caps and budgets."""
-        if node_count != self.node_count:
-            self.node_count = max(1, node_count)
+    @property
+    def node_count(self) -> int:
+        """The number of nodes that share caps and budgets."""
+        return self._shares.node_count
+
+    def apply_members(
+        self, members: typing.Iterable[ownership.Candidate]
+    ) -> None:
+        """Set the nodes that share caps and budgets."""
+        if self._shares.apply_members(members):
             self._update_connection_limits()
 
     def apply_recent_start(self, recent: bool) -> None:
@@ -125,14 +132,9 @@
         the previous process, and they reset connections beyond their
         cap.
         """
-        self._cap_divisor = 2 if recent else 1
+        self._shares.apply_recent_start(recent)
         self._update_connection_limits()
 
-    def _connection_limit(self, service: services.Service) -> int:
-        return max(
-            1, service.connection_cap // (self.node_count * self._cap_divisor)
-        )
-
     def apply_retry_limits(self, limits: retry_budget.RetryLimits) -> None:
         """Apply the fleet-wide limits on repeated calls."""
         self._retry_limits = limits
@@ -141,8 +143,7 @@
 
     def _update_connection_limits(self) -> None:
         for service in self._services.values():
-            for upstream in service.upstreams:
-                upstream.pool.max_connections = self._connection_limit(service)
+            self._shares.update(service)
 
     def apply_registrations(
         self, ready: list[registrations.Registration], now_ms: float
@@ -171,6 +172,7 @@
         del self._upstreams[name]
         service = self.service(upstream.registration.service)
         service.upstreams.remove(upstream)
+        self._shares.update(service)
         self.limit_watch.forget(upstream)
         self.notice_watch.forget(upstream)
         upstream.pool.max_connections = 0
@@ -183,7 +185,7 @@
         connection_pool = pool.ConnectionPool(
             self.reactor,
             entry.address,
-            self._connection_limit(service),
+            self._shares.limit(service),
             self.header_names.request_id,
             self.now_ms,
             service.dispatch_queue,
@@ -201,6 +203,7 @@
         )
         self._upstreams[entry.upstream] = upstream
         service.upstreams.append(upstream)
+        self._shares.update(service)
         return upstream
 
     def service(self, name: ids.ServiceName) -> services.Service:
@@ -230,30 +233,40 @@
     # Calls --------------------------------------------------------------
 
     def untried_upstreams(
-        self, service: services.Service, tried: set[ids.UpstreamId]
+        self,
+        service: services.Service,
+        tried: set[ids.UpstreamId],
+        hedge: bool,
     ) -> list[services.Upstream]:
         """Return the upstreams of a service that are not in ``tried``.
 
         Upstreams that answered 421 (Misdirected Request) are left out, and
         so are those that asked for no calls. Those that leave are left out
-        while another one is expected to answer.
+        while another one is expected to answer. Those that are not
+        assigned to this node are left out while an assigned one is
+        dependable; for a ``hedge`` that includes those that were tried.
         """
+        self._shares.assign_if_due(service)
         now_ms = self.now_ms()
         normal = []
         leaving = []
+        unassigned = []
         for upstream in service.upstreams:
             if upstream.name in tried:
                 continue
             match upstream.usage(now_ms):
-                case upstream_notices.Usage.NORMAL:
+                case upstream_notices.Usage.NORMAL if upstream.assigned:
                     normal.append(upstream)
+                case upstream_notices.Usage.NORMAL:
+                    unassigned.append(upstream)
                 case upstream_notices.Usage.LAST_CHOICE:
                     leaving.append(upstream)
-        if leaving and all(
-            upstream.health.unavailable(now_ms) for upstream in normal
-        ):
-            return normal + leaving
-        return normal
+        if all(upstream.health.unavailable(now_ms) for upstream in normal):
+            normal += leaving
+        first_choice = service.upstreams if hedge else normal
+        if any(upstream.dependable(now_ms) for upstream in first_choice):
+            return normal
+        return normal + unassigned
 
     def find_upstream(
         self, name: ids.UpstreamId, started_at_ms: int
--- a/packages/tier/src/godwitflow/tier/node.py
+++ b/packages/tier/src/godwitflow/tier/node.py
@@ -370,7 +370,7 @@
     def on_members_changed(self) -> None:
         """Update the nodes that share caps, budgets and rate limits."""
         self.permits.on_members_changed()
-        self.dispatcher.apply_node_count(self.peers.node_count())
+        self.dispatcher.apply_members(self.peers.sharing_nodes())
 
     # Requests -----------------------------------------------------------
 
--- a/packages/tier/src/godwitflow/tier/subrequest.py
+++ b/packages/tier/src/godwitflow/tier/subrequest.py
@@ -120,7 +120,9 @@
         others take over their calls only as far as they have room.
         """
         now_ms = self.dispatcher.now_ms()
-        untried = self.dispatcher.untried_upstreams(self.service, self._tried)
+        untried = self.dispatcher.untried_upstreams(
+            self.service, self._tried, hedge=bool(self._in_flight)
+        )
         permitted = [
             upstream
             for upstream in untried
@@ -243,6 +245,8 @@
         self.dispatcher.limit_watch.on_call(
             upstream, limit_watch.CallKind.TRIAL if trial else kind
         )
+        if not upstream.assigned:
+            self.dispatcher.metrics.count("calls_beyond_share")
         if trial and self.outbound.idempotent:
             self.hedge()  # a failing trial call must not delay the request
         return True
