Explain why a request's calls went to other upstreams

Change: explain follows what each node logs of its upstreams (leaving, paused, doubted, limited, and the end of each) and lists below a request's line what the node knew then of the services that the line names. It is a module of its own, cli/explanation. `refused` names the service of a request that goes to one.

Not covered: a request that is answered at its first call has no log line, so nothing can be explained of it.

--- a/packages/cli/src/godwitflow/cli/main.py
+++ b/packages/cli/src/godwitflow/cli/main.py
@@ -12,6 +12,7 @@
 
 from godwitflow.caller import client
 from godwitflow.cli import commands
+from godwitflow.cli import explanation
 from godwitflow.model import answers
 from godwitflow.model import errors
 from godwitflow.model import ids
@@ -116,7 +117,7 @@
         ]
     else:
         lines = sys.stdin.read().splitlines()
-    matching = commands.explain(request, lines)
+    matching = explanation.explain(request, lines)
     for line in matching:
         print(line)
     if not matching:
--- a/packages/soak/src/godwitflow/soak/demo.py
+++ b/packages/soak/src/godwitflow/soak/demo.py
@@ -14,7 +14,7 @@
 from twisted.internet import defer
 from twisted.internet import task
 
-from godwitflow.cli import commands
+from godwitflow.cli import explanation
 from godwitflow.soak import callers
 from godwitflow.soak import deployment as deployments
 from godwitflow.soak import history as histories
@@ -130,7 +130,7 @@
             for path in sorted(self._folder.glob("*.log"))
             for line in path.read_text().splitlines()
         ]
-        for line in commands.explain(record.request, lines):
+        for line in explanation.explain(record.request, lines):
             print(f"  {line}")
 
     def _event_lines(self, node: str, events: tuple[str, ...]) -> list[str]:
--- a/packages/tier/src/godwitflow/tier/request_handler.py
+++ b/packages/tier/src/godwitflow/tier/request_handler.py
@@ -4,6 +4,7 @@
 
 from godwitflow.http1 import callers
 from godwitflow.http1 import messages
+from godwitflow.model import ids
 from godwitflow.policy import crash_history
 from godwitflow.policy import request_timing
 from godwitflow.tier import dispatcher as dispatching
@@ -27,7 +28,10 @@
 
 
 class RequestHandler:
-    """Handles one request until its response or the caller's disconnect."""
+    """Handles one request until its response or the caller's disconnect.
+
+    ``service`` is set if the request goes to one service only.
+    """
 
     def __init__(
         self,
@@ -41,6 +45,7 @@
         self.exchange = exchange
         self.outbound = outbound
         self.finished = False
+        self.service: ids.ServiceName | None = None
         self._timer: typing.Any = None
         exchange.on_disconnect = self._on_disconnect
 
@@ -133,6 +138,7 @@
             "refused",
             request=self.outbound.request_id_text,
             route=self.outbound.route.name,
+            service=self.service,
             attempts=self.outbound.route.attempts,
             status=status,
             reason=reason,
--- a/packages/tier/src/godwitflow/tier/single_handler.py
+++ b/packages/tier/src/godwitflow/tier/single_handler.py
@@ -16,6 +16,7 @@
 
     def start(self, service: ids.ServiceName) -> None:
         """Send the request to a service."""
+        self.service = service
         self._subrequest = subrequests.Subrequest(
             self.dispatcher,
             self.outbound,
