Check in each soak run that upstreams which leave or pause get no calls

Change: two checks that hold whatever the load of the machine. A process may not pass on a request that it got later than the drain time after it had passed on a response which says that the upstream leaves; looked at in the whole run, for every upstream. After it has passed on a refusal that names a time, at most two later requests reach the upstream before the time is over; looked at in the calm phase.

Tests: test_request_long_after_a_passed_on_notice_is_a_problem, test_calls_after_a_refusal_was_passed_on_are_counted and test_refusal_that_was_not_passed_on_counts_for_nothing.

--- a/packages/soak/src/godwitflow/soak/calm_phases.py
+++ b/packages/soak/src/godwitflow/soak/calm_phases.py
@@ -26,17 +26,23 @@
 
 
 class CalmPhases:
-    """Runs the phases one after another; ``report`` takes the problems."""
+    """Runs the phases one after another.
+
+    ``report`` takes the problems, ``report_late`` those that a busy machine
+    may cause.
+    """
 
     def __init__(
         self,
         reactor: typing.Any,
         deployment: deployments.Deployment,
         report: typing.Callable[[str], None],
+        report_late: typing.Callable[[str], None],
     ) -> None:
         self._reactor = reactor
         self._deployment = deployment
         self._report = report
+        self._report_late = report_late
         self._limited = ""
 
     async def run(self) -> None:
@@ -67,7 +73,7 @@
             + LIMIT_EXTRA_CALLS
         )
         if calls > allowed:
-            self._report(
+            self._report_late(
                 f"rate limit: {self._limited} got {calls} calls,"
                 f" {allowed:g} allowed"
             )
@@ -101,7 +107,7 @@
         completed = [record for record in sent if record.status >= 0]
         served = sum(record.status in SUCCESS_STATUSES for record in completed)
         if served < MIN_SERVED_SHARE * len(completed):
-            self._report(f"recovery: {served} of {len(completed)} served")
+            self._report_late(f"recovery: {served} of {len(completed)} served")
         self._check_configuration(start_s)
         late = [
             arrival
@@ -111,7 +117,7 @@
             and arrival.ran
         ]
         if late:
-            self._report(
+            self._report_late(
                 f"drain: {len(late)} requests reached {leaving} too late"
             )
 
@@ -127,7 +133,7 @@
             ):
                 name = record.signatures[0].rpartition(".")[0]
                 if history.services[name] != newest:
-                    self._report(f"old configuration: {record.request}")
+                    self._report_late(f"old configuration: {record.request}")
 
     async def _silence_store_connections(self) -> None:
         """Change the configuration after open connections fell silent.
@@ -164,7 +170,7 @@
             upstream.name, fixtures.DRAIN_S
         )
         if late:
-            self._report(f"leaving: {late} requests at {upstream.name}")
+            self._report_late(f"leaving: {late} requests at {upstream.name}")
         self._deployment.replace_upstream(upstream.name)
 
     async def _pause_a_service(self) -> None:
@@ -185,4 +191,9 @@
                 upstream.name, start_s
             )
             if calls > MAX_CALLS_IN_A_PAUSE:
-                self._report(f"paused: {calls} calls to {upstream.name}")
+                self._report_late(f"paused: {calls} calls to {upstream.name}")
+            heard = self._deployment.history.most_calls_after_a_refusal(
+                upstream.name, start_s
+            )
+            if heard > MAX_CALLS_IN_A_PAUSE:
+                self._report(f"refused: {heard} calls to {upstream.name}")
--- a/packages/soak/src/godwitflow/soak/history.py
+++ b/packages/soak/src/godwitflow/soak/history.py
@@ -6,6 +6,7 @@
 import math
 
 from godwitflow.standins import fake_upstream
+from godwitflow.standins import fixtures
 
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 PAUSE_SLACK_S = 0.5
@@ -111,6 +112,40 @@
             most = max(most, sum(inside))
         return most
 
+    def most_calls_after_a_refusal(self, upstream: str, from_s: float) -> int:
+        """Return the most requests in a time without calls that was heard.
+
+        Counted are those that were sent to a process after it had passed
+        on the refusal, whatever the load of the machine.
+        """
+        most = 0
+        for notice in self.notices:
+            refused = self.requests[notice.request]
+            if (
+                notice.upstream != upstream
+                or notice.at_s < from_s
+                or refused.status != fake_upstream.REJECTED
+                or refused.kind is Kind.GATHER
+            ):
+                continue
+            end_s = notice.at_s + (notice.pause_s or 0.0)
+            most = max(most, self._calls_between(upstream, refused, end_s))
+        return most
+
+    def _calls_between(
+        self, upstream: str, refused: RequestRecord, end_s: float
+    ) -> int:
+        """Return how many later requests of a process arrived by a time."""
+        later = [
+            arrival
+            for arrival in self.arrivals
+            if arrival.upstream == upstream
+            and arrival.at_s < end_s
+            and self.requests[arrival.request].process == refused.process
+            and self.requests[arrival.request].sent_at_s > refused.ended_at_s
+        ]
+        return len(later)
+
     def most_arrivals(
         self, upstream: str, window_s: float, from_s: float
     ) -> int:
@@ -147,8 +182,35 @@
                 runs[arrival.request].append(arrival)
         for record in self.requests.values():
             problems += self._check_request(record, runs[record.request])
+        problems += self._check_leaving()
         return problems + self._check_configuration_order()
 
+    def _check_leaving(self) -> list[str]:
+        """Check that no upstream that leaves got requests too late.
+
+        A process may pass requests on to it that it got up to
+        ``fixtures.DRAIN_S`` after it had passed on a response that says so.
+        """
+        heard_at_s: dict[tuple[str, str], float] = {}
+        for notice in self.notices:
+            record = self.requests[notice.request]
+            if notice.pause_s is None and _is_signed_by(
+                record, notice.upstream
+            ):
+                key = (notice.upstream, record.process)
+                earlier_s = heard_at_s.get(key, math.inf)
+                heard_at_s[key] = min(earlier_s, record.ended_at_s)
+        problems = []
+        for arrival in self.arrivals:
+            late = self.requests.get(arrival.request)
+            if late is None or not arrival.ran:
+                continue
+            heard_s = heard_at_s.get((arrival.upstream, late.process))
+            if heard_s is None or late.sent_at_s <= heard_s + fixtures.DRAIN_S:
+                continue
+            problems.append(f"leaving: {late.request} at {arrival.upstream}")
+        return problems
+
     def _check_request(
         self, record: RequestRecord, runs: list[fake_upstream.Arrival]
     ) -> list[str]:
@@ -237,6 +299,13 @@
         return problems
 
 
+def _is_signed_by(record: RequestRecord, upstream: str) -> bool:
+    return any(
+        fake_upstream.parse_signature(text)[0] == upstream
+        for text in record.signatures
+    )
+
+
 def _is_unchanged(
     record: RequestRecord, arrival: fake_upstream.Arrival
 ) -> bool:
--- a/packages/soak/src/godwitflow/soak/main.py
+++ b/packages/soak/src/godwitflow/soak/main.py
@@ -43,7 +43,8 @@
     ``served`` counts requests that got a success status, ``not_run``
     those that got a status which says that they did not run, and ``cut``
     those that got no complete response. ``arrivals`` counts the requests
-    that reached an upstream, repeated and rejected ones included.
+    that reached an upstream, repeated and rejected ones included, and
+    ``notices`` what upstreams said of themselves.
     """
 
     seed: int
@@ -52,6 +53,7 @@
     not_run: int = 0
     cut: int = 0
     arrivals: int = 0
+    notices: int = 0
     faults: list[str] = dataclasses.field(default_factory=list)
     problems: list[str] = dataclasses.field(default_factory=list)
 
@@ -114,7 +116,10 @@
         )
         await self._inject_faults()
         calm = calm_phases.CalmPhases(
-            self._reactor, self._deployment, self._add_bounded_problem
+            self._reactor,
+            self._deployment,
+            self._add_problem,
+            self._add_bounded_problem,
         )
         calm.limit_a_shard()
         await self._sleep(SETTLE_S)
@@ -209,6 +214,7 @@
         )
         report.cut = sum(record.status == 0 for record in records)
         report.arrivals = len(history.arrivals)
+        report.notices = len(history.notices)
         report.problems += history.check()
         for node in self._deployment.nodes:
             unexpected = [
--- a/packages/soak/tests/test_history.py
+++ b/packages/soak/tests/test_history.py
@@ -4,6 +4,7 @@
 
 from godwitflow.soak import history as histories
 from godwitflow.standins import fake_upstream
+from godwitflow.standins import fixtures
 
 SHARDS = ["a", "b", "c"]
 Kind = histories.Kind
@@ -89,6 +90,61 @@
         self.assertEqual(2, history.most_calls_in_a_pause("ua", 0.0))
         self.assertEqual(0, history.most_calls_in_a_pause("ua", 1.5))
 
+    def refused_history(self, status, last_sent_at_s):
+        """Return one of a refusal that ended at 1.1 and named 2 s."""
+        history = self.history(
+            [("a", 1.0, 2.0)],
+            [
+                ("a", "n0/0", 0.9),
+                ("b", "n0/0", 1.05),
+                ("c", "n0/0", 1.2),
+                ("d", "n1/0", 1.2),
+                ("e", "n0/0", last_sent_at_s),
+            ],
+        )
+        history.requests["a"].status = status
+        return history
+
+    def test_calls_after_a_refusal_was_passed_on_are_counted(self):
+        for last_sent_at_s, count in ((2.9, 2), (3.1, 1)):
+            history = self.refused_history(503, last_sent_at_s)
+            self.assertEqual(
+                count, history.most_calls_after_a_refusal("ua", 0.0)
+            )
+            self.assertEqual(0, history.most_calls_after_a_refusal("ua", 1.5))
+
+    def test_refusal_that_was_not_passed_on_counts_for_nothing(self):
+        history = self.refused_history(200, 2.9)
+        self.assertEqual(0, history.most_calls_after_a_refusal("ua", 0.0))
+
+    def leaving_problems(self, signature, late_process, late_at_s):
+        """Return what is found of a notice that was passed on at 1.1."""
+        history = self.history(
+            [("a", 1.0, None)],
+            [("a", "n0/0", 0.9), ("b", late_process, late_at_s)],
+        )
+        history.requests["a"].signatures = (signature,)
+        return [
+            problem
+            for problem in history.check()
+            if problem.startswith("leaving")
+        ]
+
+    def test_request_long_after_a_passed_on_notice_is_a_problem(self):
+        limit_s = 1.1 + fixtures.DRAIN_S
+        late_s = limit_s + 0.01
+        self.assertEqual(
+            ["leaving: b at ua"], self.leaving_problems("ua.a", "n0/0", late_s)
+        )
+        for signature, process, at_s in (
+            ("ua.a", "n0/0", limit_s - 0.01),
+            ("ua.a", "n1/0", late_s),
+            ("ub.a", "n0/0", late_s),
+        ):
+            self.assertEqual(
+                [], self.leaving_problems(signature, process, at_s)
+            )
+
 
 def gathered(request="r1", **changes):
     records = [
--- a/packages/soak/tests/test_main.py
+++ b/packages/soak/tests/test_main.py
@@ -35,3 +35,4 @@
             self.assertEqual([], report["problems"])
             self.assertEqual(0, done.returncode)
             self.assertGreater(report["served"], 0)
+            self.assertGreater(report["notices"], 0)
