Keep named times of up to an hour (BUDGET)

Cause: the bound on named times, which is there so that an odd value, a year for instance, does not take an upstream away for good, was shorter than times that operators mean.

Change: the bound is an hour. A longer time is still kept for an hour only, and a new instance of the upstream ends it at once.

Test: test_time_of_an_hour_is_kept_to_its_end; on the code before it failed (NORMAL where NONE is due).

--- a/packages/policy/src/godwitflow/policy/upstream_notices.py
+++ b/packages/policy/src/godwitflow/policy/upstream_notices.py
@@ -13,7 +13,7 @@
 from godwitflow.model import ids
 from godwitflow.policy import header_decimals
 
-MAX_PAUSE_MS = 300_000.0
+MAX_PAUSE_MS = 3_600_000.0
 # Calls of requests that were received in time may wait a little longer.
 LEAVING_USE_SHARE = 0.8
 RESUME_SPREAD_SHARE = 0.1
--- a/packages/policy/tests/test_upstream_notices.py
+++ b/packages/policy/tests/test_upstream_notices.py
@@ -67,6 +67,14 @@
         heard.on_pause(1_000.0, 500.0, 0.0)
         self.assertIs(notices.Usage.NORMAL, heard.usage(1_500.0))
 
+    def test_time_of_an_hour_is_kept_to_its_end(self):
+        # After five minutes of it calls went there again.
+        heard = notices.Notices()
+        hour_ms = 3_600_000.0
+        heard.on_pause(0.0, hour_ms, 0.0)
+        self.assertIs(notices.Usage.NONE, heard.usage(hour_ms - 1.0))
+        self.assertIs(notices.Usage.NORMAL, heard.usage(hour_ms))
+
     @SETTINGS
     @hypothesis.given(strategies.lists(strategies.binary(max_size=40)))
     def test_any_value_is_a_sane_time_or_unreadable(self, values):
