Do not take news that waited in a pause for new

Cause: the age that an announcement carries was counted from its reading. Reports of limits and requests for permits had the same fault.

Change: the ticks of the protocol bound how long a datagram may have waited (policy/input_delay); its news is older by that. Without a pause nothing changes.

--- a/packages/tier/src/godwitflow/tier/peer_protocol.py
+++ b/packages/tier/src/godwitflow/tier/peer_protocol.py
@@ -14,11 +14,13 @@
 from godwitflow.model import errors
 from godwitflow.model import ids
 from godwitflow.policy import address_choice
+from godwitflow.policy import input_delay
 from godwitflow.policy import membership
 from godwitflow.policy import ownership
 from godwitflow.tier import introductions
 from godwitflow.tier import log as logs
 from godwitflow.tier import traffic as traffic_module
+from godwitflow.wire import ages
 from godwitflow.wire import codec
 from godwitflow.wire import messages
 
@@ -101,6 +103,7 @@
         self._handler = handler
         self._traffic = traffic
         self._domains: dict[str, ids.FailureDomain] = {}
+        self._input_delay = input_delay.InputDelay(now_ms())
         self._random = random.Random(seed)
         self.introductions = introductions.Introductions(
             self.membership, seeds, self._send, self._random, now_ms()
@@ -112,6 +115,7 @@
     def tick(self) -> None:
         """Run due protocol actions; to be called every ``TICK_S``."""
         now_ms = self._now_ms()
+        self._input_delay.on_tick(now_ms)
         self._send_all(self.membership.tick(now_ms))
         self.introductions.tick(now_ms)
         self._report_changes()
@@ -205,7 +209,10 @@
         self.rejected_count += received.rejected
         count = self._byte_count(inner_address, received.messages)
         count.received += len(data)
+        waited_ms = self._input_delay.max_ms(self._now_ms())
         for message in received.messages:
+            if waited_ms:
+                message = ages.add(message, waited_ms)
             self._process(received.header, message)
         if self.membership.changed:
             self.introductions.greet_new_members(self._now_ms())
