Make no call that was queued past its request's deadline

What upstreams and callers saw: after a pause of a node, a call that had waited in the queue was sent although its request's time was over.

Cause: on waking, the response that frees a connection may be read before the timer that gives the request up, and the queue looked at capacity only.

Change: no upstream is eligible after the deadline, for first calls, retries, hedges and queued calls alike.

Test: test_call_that_was_queued_in_a_pause_is_not_made_past_its_time; on the code before it got 504 and the upstream two calls, in place of one.

--- a/packages/tier/src/godwitflow/tier/results.py
+++ b/packages/tier/src/godwitflow/tier/results.py
@@ -16,6 +16,7 @@
     FAILED = "failed"
     RATE_LIMITED = "rate_limited"
     PAUSED = "paused"
+    TIMED_OUT = "timed_out"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/tier/src/godwitflow/tier/single_handler.py
+++ b/packages/tier/src/godwitflow/tier/single_handler.py
@@ -106,6 +106,8 @@
                         response.body,
                     )
                 )
+            case results.NoResponse(results.NoResponseReason.TIMED_OUT, True):
+                self._refuse(504, "the request timed out")
             case results.NoResponse(reason, may_have_run):
                 if may_have_run:
                     self._refuse(502, f"upstream call failed: {reason.value}")
--- a/packages/tier/src/godwitflow/tier/subrequest.py
+++ b/packages/tier/src/godwitflow/tier/subrequest.py
@@ -116,10 +116,13 @@
     def _eligible_upstreams(self) -> list[services.Upstream]:
         """Return the untried upstreams that a call may be made to.
 
-        After a denied permit, limited upstreams are the last choice. The
+        There are none after the deadline. After a denied permit, limited upstreams are the last choice. The
         others take over their calls only as far as they have room.
         """
         now_ms = self.dispatcher.now_ms()
+        if now_ms >= self.outbound.deadline_at_ms:
+            self._reason = results.NoResponseReason.TIMED_OUT
+            return []
         untried = self.dispatcher.untried_upstreams(
             self.service, self._tried, hedge=bool(self._in_flight)
         )
--- a/packages/tier/tests/test_paused_node.py
+++ b/packages/tier/tests/test_paused_node.py
@@ -6,6 +6,8 @@
 import unittest
 
 import node_fixture
+import simulation
+import simulation_helpers as helpers
 
 from godwitflow.wire import codec
 from godwitflow.wire import messages
@@ -18,6 +20,33 @@
 LIMITS = messages.LimitReports((messages.LimitReport("u1", 1, 5.0, 50.0),))
 
 
+class PausedCallTest(unittest.TestCase):
+    def pause_with_a_queued_call(self, pause_s):
+        """Return the caller of the queued call, and the upstream."""
+        sim = simulation.Simulation(replicas=1)
+        helpers.set_members(sim, simulation.CONNECTION_CAP)
+        (upstream,) = sim.services["one"]
+        upstream.latency_ms = 50.0
+        sim.send(b"/once/")
+        caller, _ = sim.send(b"/once/")
+        sim.advance(10.0)
+        sim.reactor.rightNow += pause_s
+        sim.reactor.advance(0.0)
+        sim.advance(200.0)
+        return caller, upstream
+
+    def test_call_that_was_queued_in_a_pause_is_not_made_past_its_time(self):
+        # It ran for a caller that had left, and got 504 in place of 503.
+        caller, upstream = self.pause_with_a_queued_call(PAUSE_S)
+        self.assertEqual(503, caller.response.status)
+        self.assertEqual(1, len(upstream.arrived_at_ms))
+
+    def test_call_that_was_queued_in_a_pause_is_made_in_time(self):
+        caller, upstream = self.pause_with_a_queued_call(0.3)
+        self.assertEqual(200, caller.response.status)
+        self.assertEqual(2, len(upstream.arrived_at_ms))
+
+
 class PausedNodeTest(unittest.TestCase):
     def setUp(self):
         self.fixture = node_fixture.serving_node()
