--- a/packages/tier/tests/test_replication.py
+++ b/packages/tier/tests/test_replication.py
@@ -1,5 +1,6 @@
 """Tests of replication: delays, faults and the number of store calls."""
 
+import random
 import unittest
 
 import node_fixture
@@ -100,6 +101,13 @@
         for node in self.nodes:
             node.start()
 
+    def restart(self, number):
+        """Replace a node by one that has no copy yet."""
+        self.nodes[number].stop()
+        self.nodes[number] = node = ReplicatingNode(self, number)
+        self.node_by_name[node.name] = node
+        node.start()
+
     def now_ms(self):
         return self.clock.seconds() * 1_000.0
 
@@ -424,3 +432,53 @@
         fleet.advance(2_000.0)
         self.assertFalse(marks[0])
         self.assertTrue(marks[-1])
+
+
+class WithdrawnEntriesTest(unittest.TestCase):
+    """What was removed from the store does not come back on any node."""
+
+    def disturb(self, fleet, rng, names):
+        """Do one thing at random; ``names`` are the entries of the store."""
+        number = rng.randrange(len(fleet.nodes))
+        match rng.randrange(8):
+            case 0 | 1:
+                name = f"e{rng.randrange(1_000_000)}"
+                names.add(name)
+                fleet.store.write(KIND, name, {})
+            case 2 | 3 if names:
+                name = rng.choice(sorted(names))
+                names.remove(name)
+                fleet.store.remove(KIND, name)
+            case 4:
+                fleet.restart(number)
+            case 5:
+                fleet.nodes[number].frozen = not fleet.nodes[number].frozen
+            case 6:
+                fleet.store.drop_history()
+            case 7:
+                refused = f"n{number}"
+                fleet.store.should_reject = lambda caller: caller == refused
+
+    def play(self, seed):
+        rng = random.Random(seed)
+        fleet = Fleet(9)
+        fleet.advance(2_000.0)
+        names = {"a"}
+        newest = {}
+        for _ in range(40):
+            self.disturb(fleet, rng, names)
+            fleet.advance(rng.choice((20.0, 200.0, 900.0)))
+            for node in fleet.nodes:
+                revision = node.followers[KIND].copy.revision
+                self.assertGreaterEqual(revision, newest.get(node, 0), seed)
+                newest[node] = revision
+        fleet.store.should_reject = lambda caller: False
+        for node in fleet.nodes:
+            node.frozen = False
+        fleet.advance(MAX_DELAY_MS)
+        for node in fleet.nodes:
+            self.assertEqual(names, set(node.revision_by_name), seed)
+
+    def test_copies_never_go_back_and_are_the_stores_in_the_end(self):
+        for seed in range(40):
+            self.play(seed)
