Answer requests whose handling fails, and stall no queue by them

Cause: an error in a handler went up to the transport, which closes the connection; an error in a timer's action left the request without a timer; an error of a queued call left the queue of its service marked as being dispatched, so it was never looked at again.

Change: a request whose handler or timer fails is answered 500 and its calls are ended; a queued call that fails leaves the queue. Each is logged (request_failed, call_resume_failed).

--- a/packages/tier/src/godwitflow/tier/dispatcher.py
+++ b/packages/tier/src/godwitflow/tier/dispatcher.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import functools
 import heapq
 import itertools
 import random
@@ -210,10 +211,21 @@
         """Return the service with a name, creating it on first use."""
         service = self._services.get(name)
         if service is None:
-            service = services.Service(name, self._retry_limits)
+            service = services.Service(
+                name,
+                self._retry_limits,
+                functools.partial(self._on_queue_error, name),
+            )
             self._services[name] = service
         return service
 
+    def _on_queue_error(
+        self, service: ids.ServiceName, error: Exception
+    ) -> None:
+        self.log.limited_event(
+            "call_resume_failed", service=service, error=repr(error)
+        )
+
     def latency_estimate(self, route: routing.Route) -> LatencyEstimate:
         """Return the latency estimate of a route, creating it if new."""
         estimate = self._latency_estimates.get(route.name)
--- a/packages/tier/src/godwitflow/tier/front.py
+++ b/packages/tier/src/godwitflow/tier/front.py
@@ -26,7 +26,11 @@
 
 
 class Listener(protocol.ServerFactory):
-    """Accepts connections and passes their requests to one handler."""
+    """Accepts connections and passes their requests to one handler.
+
+    A request whose handler fails is answered, so that its caller need not
+    wait, and the connection goes on.
+    """
 
     noisy = False
 
@@ -34,12 +38,14 @@
         self,
         now_ms: typing.Callable[[], float],
         handler: typing.Callable[[callers.Exchange], None],
+        log: logs.Log,
     ) -> None:
         self.limits = callers.Limits()
         self.closing = False
         self.connections: set[callers.CallerConnection] = set()
         self.now_ms = now_ms
         self._handler = handler
+        self._log = log
 
     def buildProtocol(self, addr: typing.Any) -> typing.Any:  # noqa: N802
         """Return the protocol of a new connection."""
@@ -47,7 +53,15 @@
 
     def handle(self, exchange: callers.Exchange) -> None:
         """Pass a complete request to the handler."""
-        self._handler(exchange)
+        try:
+            self._handler(exchange)
+        except Exception as error:
+            self._log.limited_event(
+                "request_failed",
+                path=exchange.request.path.decode("latin-1"),
+                error=repr(error),
+            )
+            exchange.respond(messages.text_response(500, "internal error"))
 
     def check_timeouts(self) -> None:
         """Close connections that exceed a header or idle timeout."""
--- a/packages/tier/src/godwitflow/tier/gather_handler.py
+++ b/packages/tier/src/godwitflow/tier/gather_handler.py
@@ -294,8 +294,7 @@
             version=self.outbound.configuration_version,
         )
 
-    def _on_disconnect(self) -> None:
-        self._end_without_response()
+    def _abandon_calls(self) -> None:
         for subrequest in self._subrequests:
             subrequest.cancel()
 
--- a/packages/tier/src/godwitflow/tier/node.py
+++ b/packages/tier/src/godwitflow/tier/node.py
@@ -162,16 +162,20 @@
             log,
             lambda: self.stage is Stage.STOPPING,
         )
-        self._caller_listener = front.Listener(now_ms, self._on_request)
-        self._readiness_listener = front.Listener(now_ms, self._on_ready_check)
+        self._caller_listener = front.Listener(
+            now_ms, self._on_request, log
+        )
+        self._readiness_listener = front.Listener(
+            now_ms, self._on_ready_check, log
+        )
         self._directory_listener = front.Listener(
-            now_ms, self.directory.handle
+            now_ms, self.directory.handle, log
         )
         self._metrics_listener = front.Listener(
-            now_ms, self._on_metrics_request
+            now_ms, self._on_metrics_request, log
         )
         self._inner_listener = front.Listener(
-            now_ms, self.replication.serve_fetch
+            now_ms, self.replication.serve_fetch, log
         )
         self._ports: list[typing.Any] = []
         self._caller_port: typing.Any = None
--- a/packages/tier/src/godwitflow/tier/request_handler.py
+++ b/packages/tier/src/godwitflow/tier/request_handler.py
@@ -55,7 +55,27 @@
         """Call ``action`` at ``at_ms``, replacing the previous timer."""
         self._stop_timer()
         wait_s = max(0.0, at_ms - self.dispatcher.now_ms()) / MS_PER_S
-        self._timer = self.dispatcher.reactor.callLater(wait_s, action)
+        self._timer = self.dispatcher.reactor.callLater(
+            wait_s, self._run, action
+        )
+
+    def _run(self, action: typing.Callable[[], None]) -> None:
+        """Run a timer's action; if it fails, answer the request now."""
+        try:
+            action()
+        except Exception as error:
+            self.log.limited_event(
+                "request_failed",
+                request=self.outbound.request_id_text,
+                route=self.outbound.route.name,
+                error=repr(error),
+            )
+            self.finished = True
+            self._stop_timer()
+            self.exchange.respond(
+                messages.text_response(500, "internal error")
+            )
+            self._abandon_calls()
 
     def _stop_timer(self) -> None:
         if self._timer is not None and self._timer.active():
@@ -87,6 +107,11 @@
         raise NotImplementedError
 
     def _on_disconnect(self) -> None:
+        self._end_without_response()
+        self._abandon_calls()
+
+    def _abandon_calls(self) -> None:
+        """End the calls of a request that is over."""
         raise NotImplementedError
 
     def _crash_count(self) -> int:
--- a/packages/tier/src/godwitflow/tier/services.py
+++ b/packages/tier/src/godwitflow/tier/services.py
@@ -138,12 +138,16 @@
 
 
 class Service:
-    """The upstreams of one service, its retry budget and its call queue."""
+    """The upstreams of one service, its retry budget and its call queue.
+
+    ``on_error`` is called with an unexpected error of a queued call.
+    """
 
     def __init__(
         self,
         name: ids.ServiceName,
         retry_limits: retry_budget.RetryLimits,
+        on_error: typing.Callable[[Exception], None],
     ) -> None:
         self.name = name
         self.connection_cap = DEFAULT_CONNECTION_CAP
@@ -152,6 +156,7 @@
         self.retry_budget = retry_budget.RetryBudget(retry_limits)
         self.queue: list[tuple[int, int, QueuedCall]] = []
         self._dispatching = False
+        self._on_error = on_error
 
     def unavailable(self, now_ms: float) -> bool:
         """Return whether no upstream of the service is expected to answer.
@@ -203,7 +208,15 @@
         self._dispatching = True
         while self.queue:
             entry = heapq.heappop(self.queue)
-            if not entry[2].resume():
+            if not self._resume(entry[2]):
                 heapq.heappush(self.queue, entry)
                 break
         self._dispatching = False
+
+    def _resume(self, call: QueuedCall) -> bool:
+        """Resume a call; one that fails leaves the queue like a sent one."""
+        try:
+            return call.resume()
+        except Exception as error:
+            self._on_error(error)
+            return True
--- a/packages/tier/src/godwitflow/tier/single_handler.py
+++ b/packages/tier/src/godwitflow/tier/single_handler.py
@@ -118,8 +118,7 @@
                         self._retry_after_s(reason),
                     )
 
-    def _on_disconnect(self) -> None:
-        self._end_without_response()
+    def _abandon_calls(self) -> None:
         if self.outbound.idempotent:
             self._subrequest.cancel()
         else:
