--- a/packages/tier/src/godwitflow/tier/permits.py
+++ b/packages/tier/src/godwitflow/tier/permits.py
@@ -1,4 +1,4 @@
-"""Asks for and issues permits for calls to upstreams with a rate limit.
+"""Asks for permits for calls to upstreams with a rate limit.
 
 Requests of one turn of the event loop that go to the same issuer share a
 datagram. A request that is not answered in time counts as denied: its
@@ -12,39 +12,19 @@
 from godwitflow.model import ids
 from godwitflow.policy import permits as policy
 from godwitflow.policy import rate_limits
+from godwitflow.tier import issuers as issuer_ranking
 from godwitflow.tier import limit_watch as limit_watching
 from godwitflow.tier import log as logs
-from godwitflow.tier import metrics
+from godwitflow.tier import permit_issuing
 from godwitflow.tier import services
 from godwitflow.wire import messages
 
 REPLY_TIMEOUT_MS = 60.0
 UNANSWERED_WAIT_MS = 50.0
-SILENT_AFTER_TIMEOUTS = 2
-SILENT_MS = 1_000.0
 WANTS_PER_DATAGRAM = 16
 MS_PER_S = 1_000.0
 
 OnDecision = typing.Callable[[bool], None]
-FindUpstream = typing.Callable[[ids.UpstreamId, int], services.Upstream | None]
-
-
-class Members(typing.Protocol):
-    """What permits need from the membership protocol."""
-
-    def live_nodes(self) -> list[ids.NodeId]:
-        """Return the nodes that are alive, this one included."""
-        ...
-
-    def node_count(self) -> int:
-        """Return the number of known nodes, including dead ones."""
-        ...
-
-    def send_to(
-        self, nodes: typing.Iterable[ids.NodeId], message: messages.Message
-    ) -> None:
-        """Send a message to some members."""
-        ...
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -59,15 +39,15 @@
 
 
 class Permits:
-    """One node's requests for permits, and its part as an issuer."""
+    """One node's requests for permits, and its answers to those of peers."""
 
     def __init__(
         self,
         reactor: typing.Any,
         now_ms: typing.Callable[[], float],
         node: ids.NodeId,
-        members: Members,
-        find_upstream: FindUpstream,
+        members: issuer_ranking.Members,
+        find_upstream: permit_issuing.FindUpstream,
         limit_watch: limit_watching.LimitWatch,
         log: logs.Log,
     ) -> None:
@@ -75,25 +55,26 @@
         self._now_ms = now_ms
         self._node = node
         self._members = members
-        self._find_upstream = find_upstream
         self._limit_watch = limit_watch
-        self._log = log
-        self._issuer = policy.PermitIssuer()
+        self._issuers = issuer_ranking.Issuers(node, members, log)
+        self._issuing = permit_issuing.PermitIssuing(
+            now_ms, node, members, self._issuers, find_upstream, limit_watch
+        )
         self._pending: dict[int, _Pending] = {}
         self._unsent: dict[
             tuple[ids.NodeId, policy.Role], list[messages.PermitWant]
         ] = {}
         self._last_ticket = 0
-        self._rankings: dict[policy.Group, list[ids.NodeId]] = {}
-        self._issuers: dict[policy.Group, ids.NodeId] = {}
-        self._timeouts: dict[ids.NodeId, int] = {}
-        self._silent_until_ms: dict[ids.NodeId, float] = {}
 
     # Asking -------------------------------------------------------------
 
     def on_members_changed(self) -> None:
         """Choose the issuers anew."""
-        self._rankings.clear()
+        self._issuers.on_members_changed()
+
+    def lines(self) -> list[str]:
+        """Return the issuers asked so far as metrics, one line each."""
+        return self._issuers.lines()
 
     def request(
         self,
@@ -107,7 +88,7 @@
         may be made.
         """
         now_ms = self._now_ms()
-        issuer, role = self._choose_issuer(
+        issuer, role = self._issuers.choose(
             policy.group_of(upstream.registration.service), now_ms
         )
         self._last_ticket += 1
@@ -120,52 +101,13 @@
             _want(self._last_ticket, upstream, urgent, now_ms)
         )
 
-    def _choose_issuer(
-        self, group: policy.Group, now_ms: float
-    ) -> tuple[ids.NodeId, policy.Role]:
-        ranking = self._ranking(group)
-        if not ranking:
-            return self._node, policy.Role.STANDBY
-        silent_until_ms = self._silent_until_ms.get(ranking[0], 0.0)
-        if now_ms < silent_until_ms and len(ranking) > 1:
-            return ranking[1], policy.Role.STANDBY
-        return ranking[0], policy.Role.PRIMARY
-
-    def _ranking(self, group: policy.Group) -> list[ids.NodeId]:
-        ranking = self._rankings.get(group)
-        if ranking is None:
-            ranking = policy.rank_issuers(self._members.live_nodes(), group)
-            self._rankings[group] = ranking
-            self._log_issuer(group, ranking)
-        return ranking
-
-    def _log_issuer(
-        self, group: policy.Group, ranking: list[ids.NodeId]
-    ) -> None:
-        issuer = ranking[0] if ranking else None
-        previous = self._issuers.get(group)
-        if issuer is None or issuer == previous:
-            return
-        self._issuers[group] = issuer
-        self._log.limited_event(
-            "issuer", group=group, issuer=issuer, previous=previous
-        )
-
-    def lines(self) -> list[str]:
-        """Return the issuers asked so far as metrics, one line each."""
-        return [
-            metrics.gauge_line(
-                "permit_issuer", 1.0, group=str(group), issuer=issuer
-            )
-            for group, issuer in sorted(self._issuers.items())
-        ]
-
     def _send_requests(self) -> None:
         unsent, self._unsent = self._unsent, {}
         for (issuer, role), wants in unsent.items():
             if issuer == self._node:
                 for want in wants:
-                    self._on_answer(self._decide(want, role), issuer)
+                    answer = self._issuing.decide(want, role)
+                    self._on_answer(answer, issuer)
                 continue
             self._send_to_issuer(issuer, role, wants)
 
@@ -197,26 +139,15 @@
         if not unanswered:
             return
         now_ms = self._now_ms()
-        self._count_timeout(issuer, now_ms)
+        self._issuers.on_timeout(issuer, now_ms)
         for pending in unanswered:
             self._deny(pending, UNANSWERED_WAIT_MS, "unanswered", now_ms)
 
-    def _count_timeout(self, issuer: ids.NodeId, now_ms: float) -> None:
-        timeouts = self._timeouts.get(issuer, 0) + 1
-        self._timeouts[issuer] = timeouts
-        if timeouts >= SILENT_AFTER_TIMEOUTS:
-            self._timeouts[issuer] = 0
-            self._silent_until_ms[issuer] = now_ms + SILENT_MS
-            self._log.limited_event(
-                "issuer_silent", issuer=issuer, for_ms=SILENT_MS
-            )
-
     def on_reply(
         self, sender: ids.NodeId, message: messages.PermitReply
     ) -> None:
         """Process the answers of an issuer."""
-        self._timeouts.pop(sender, None)
-        self._silent_until_ms.pop(sender, None)
+        self._issuers.on_reply(sender)
         for answer in message.answers:
             self._on_answer(answer, sender)
 
@@ -259,77 +190,8 @@
         self, sender: ids.NodeId, message: messages.PermitRequest
     ) -> None:
         """Decide on the permits that a peer asks for, and reply."""
-        role = policy.Role.STANDBY if message.standby else policy.Role.PRIMARY
-        self._apply_wants(sender, message.wants)
-        answers = tuple(self._decide(want, role) for want in message.wants)
-        self._members.send_to([sender], messages.PermitReply(answers))
-
-    def _apply_wants(
-        self, sender: ids.NodeId, wants: typing.Iterable[messages.PermitWant]
-    ) -> None:
-        """Learn the limits that the sender knows."""
-        now_ms = self._now_ms()
-        for want in wants:
-            upstream = self._find_upstream(want.upstream, want.started_at_ms)
-            if upstream is not None and want.calls_per_s > 0.0:
-                news = rate_limits.LimitNews(
-                    want.calls_per_s, now_ms - want.age_ms, sender
-                )
-                self._limit_watch.apply(upstream, news, now_ms)
-
-    def _decide(
-        self, want: messages.PermitWant, role: policy.Role
-    ) -> messages.PermitAnswer:
-        """Decide on one permit.
-
-        A node whose peers take it for the issuer by an outdated view
-        denies, or two nodes would issue the same limit.
-        """
-        now_ms = self._now_ms()
-        calls_per_s: float | None = max(
-            rate_limits.MIN_CALLS_PER_S, want.calls_per_s
-        )
-        age_ms = None
-        upstream = self._find_upstream(want.upstream, want.started_at_ms)
-        if upstream is not None and upstream.limit.news is not None:
-            calls_per_s = upstream.limit.calls_per_s
-            age_ms = now_ms - upstream.limit.news.heard_at_ms
-        if calls_per_s is None:
-            return messages.PermitAnswer(want.ticket, True, 0.0, None, age_ms)
-        if upstream is not None and not self._issues_for(upstream, role):
-            return messages.PermitAnswer(
-                want.ticket, False, policy.MIN_WAIT_MS, calls_per_s, age_ms
-            )
-        decision = self._issuer.decide(
-            policy.Instance(want.upstream, want.started_at_ms),
-            calls_per_s,
-            role,
-            self._live_share(),
-            want.urgent,
-            now_ms,
-        )
-        match decision:
-            case policy.Issued():
-                issued, wait_ms = True, 0.0
-            case policy.Denied(wait_ms):
-                issued = False
-        return messages.PermitAnswer(
-            want.ticket, issued, round(wait_ms, 1), calls_per_s, age_ms
-        )
-
-    def _issues_for(
-        self, upstream: services.Upstream, role: policy.Role
-    ) -> bool:
-        ranking = self._ranking(policy.group_of(upstream.registration.service))
-        match role:
-            case policy.Role.PRIMARY:
-                return ranking[:1] == [self._node]
-            case policy.Role.STANDBY:
-                return not ranking or self._node in ranking[:2]
-
-    def _live_share(self) -> float:
-        live = max(1, len(self._members.live_nodes()))
-        return min(1.0, live / max(1, self._members.node_count()))
+        reply = self._issuing.answer(sender, message)
+        self._members.send_to([sender], reply)
 
 
 def _want(
