Do not refuse what many ask for after an outage of its upstreams

Cause: each of these runs counted as a crash of its own, and two runs with three crashes block a request.

Change: a run that began before the last strike, and ends within a second of it, is not counted again: both may have one other cause. Runs one after another count as before, and so do long runs whose upstreams are lost one after another.

--- a/packages/tier/src/godwitflow/tier/dispatcher.py
+++ b/packages/tier/src/godwitflow/tier/dispatcher.py
@@ -60,8 +60,8 @@
     """Selects upstreams for calls and tracks their health and latency.
 
     ``on_crashes`` is called with the fingerprint of a request that
-    crashed upstreams and the number of crashes. ``permits`` has to be set
-    before the first call.
+    crashed upstreams, the number of crashes and how long it ran, in ms.
+    ``permits`` has to be set before the first call.
     """
 
     def __init__(
@@ -86,7 +86,7 @@
         self._shares = connection_shares.ConnectionShares(limit_watch.node)
         self.crash_history = crash_history.CrashHistory()
         self._observations = observations.Observations()
-        self.on_crashes: typing.Callable[[ids.Fingerprint, int], None] = (
+        self.on_crashes: typing.Callable[[ids.Fingerprint, int, float], None] = (
             _ignore_crashes
         )
         self.permits: permits.Permits
@@ -344,7 +344,11 @@
 
         The request is counted, logged and reported to ``on_crashes``.
         """
-        self.crash_history.record_crashes(fingerprint, crashes, self.now_ms())
+        now_ms = self.now_ms()
+        run_ms = now_ms - outbound.received_at_ms
+        self.crash_history.record_crashes(
+            fingerprint, crashes, now_ms, run_ms
+        )
         self.metrics.count("strikes")
         self.log.limited_event(
             "strike",
@@ -352,7 +356,7 @@
             fingerprint=f"{fingerprint:016x}",
             crashes=crashes,
         )
-        self.on_crashes(fingerprint, crashes)
+        self.on_crashes(fingerprint, crashes, run_ms)
 
     def record_repeated_call(
         self,
@@ -506,7 +510,9 @@
             upstream.health.on_peer_report(self.now_ms(), observation)
 
 
-def _ignore_crashes(fingerprint: ids.Fingerprint, crashes: int) -> None:
+def _ignore_crashes(
+    fingerprint: ids.Fingerprint, crashes: int, run_ms: float
+) -> None:
     """Default ``on_crashes``; a node replaces it to inform its peers."""
 
 
--- a/packages/tier/src/godwitflow/tier/node.py
+++ b/packages/tier/src/godwitflow/tier/node.py
@@ -308,9 +308,9 @@
         return self.replication.revisions()
 
     def _broadcast_crashes(
-        self, fingerprint: ids.Fingerprint, crashes: int
+        self, fingerprint: ids.Fingerprint, crashes: int, run_ms: float
     ) -> None:
-        entry = messages.Suspicion(fingerprint, crashes, 0.0)
+        entry = messages.Suspicion(fingerprint, crashes, round(run_ms, 1))
         self.peers.broadcast(messages.Suspicions((entry,)))
 
     def on_suspicions(self, message: messages.Suspicions) -> None:
@@ -330,7 +330,7 @@
                 )
             else:
                 history.record_crashes(
-                    entry.fingerprint, entry.crashes, now_ms
+                    entry.fingerprint, entry.crashes, now_ms, entry.age_ms
                 )
 
     def suspicions(self) -> messages.Suspicions:
