--- a/packages/policy/src/godwitflow/policy/crash_history.py
+++ b/packages/policy/src/godwitflow/policy/crash_history.py
@@ -4,9 +4,9 @@
 node, and crashes an upstream each time. A strike is a run of a request in
 which upstreams closed the connection and none replied successfully. When
 upstreams are lost for another reason, many runs of a popular request end
-together; they count as one. Nodes report strikes to each other as they happen, and tell a node that starts
-which requests are blocked. After a few strikes a request is refused before
-it runs.
+together; they count as one. Nodes report strikes to each other as they
+happen, and tell a node that starts which requests are blocked. After a few
+strikes a request is refused before it runs.
 """
 
 import dataclasses
