--- a/packages/tier/src/godwitflow/tier/dispatcher.py
+++ b/packages/tier/src/godwitflow/tier/dispatcher.py
@@ -18,14 +18,12 @@
 from godwitflow.model import ids
 from godwitflow.policy import crash_history
 from godwitflow.policy import observations
-from godwitflow.policy import ownership
 from godwitflow.policy import quantile
 from godwitflow.policy import registrations
 from godwitflow.policy import replica_choice
 from godwitflow.policy import retry_budget
 from godwitflow.policy import routing
 from godwitflow.policy import upstream_notices
-from godwitflow.tier import connection_shares
 from godwitflow.tier import headers
 from godwitflow.tier import limit_watch as limit_watching
 from godwitflow.tier import log as logs
@@ -83,12 +81,13 @@
         self.reactor = reactor
         self.now_ms = now_ms
         self.header_names = header_names
-        self._shares = connection_shares.ConnectionShares(limit_watch.node)
+        self.node_count = 1
+        self._cap_divisor = 1
         self.crash_history = crash_history.CrashHistory()
         self._observations = observations.Observations()
-        self.on_crashes: typing.Callable[[ids.Fingerprint, int, float], None] = (
-            _ignore_crashes
-        )
+        self.on_crashes: typing.Callable[
+            [ids.Fingerprint, int, float], None
+        ] = _ignore_crashes
         self.permits: permits.Permits
         self.call_count = 0
         self.random = random.Random(seed)
@@ -114,16 +113,10 @@
             self.service(service.name).connection_cap = service.connection_cap
         self._update_connection_limits()
 
-    @property
-    def node_count(self) -> int:
-        """The number of nodes that share caps and budgets."""
-        return self._shares.node_count
-
-    def apply_members(
-        self, members: typing.Iterable[ownership.Candidate]
-    ) -> None:
-        """Set the nodes that share caps and budgets."""
-        if self._shares.apply_members(members):
+    def apply_node_count(self, node_count: int) -> None:
+        """Set the number of nodes that share caps and budgets."""
+        if node_count != self.node_count:
+            self.node_count = max(1, node_count)
             self._update_connection_limits()
 
     def apply_recent_start(self, recent: bool) -> None:
@@ -133,9 +126,14 @@
         the previous process, and they reset connections beyond their
         cap.
         """
-        self._shares.apply_recent_start(recent)
+        self._cap_divisor = 2 if recent else 1
         self._update_connection_limits()
 
+    def _connection_limit(self, service: services.Service) -> int:
+        return max(
+            1, service.connection_cap // (self.node_count * self._cap_divisor)
+        )
+
     def apply_retry_limits(self, limits: retry_budget.RetryLimits) -> None:
         """Apply the fleet-wide limits on repeated calls."""
         self._retry_limits = limits
@@ -144,7 +142,8 @@
 
     def _update_connection_limits(self) -> None:
         for service in self._services.values():
-            self._shares.update(service)
+            for upstream in service.upstreams:
+                upstream.pool.max_connections = self._connection_limit(service)
 
     def apply_registrations(
         self, ready: list[registrations.Registration], now_ms: float
@@ -173,7 +172,6 @@
         del self._upstreams[name]
         service = self.service(upstream.registration.service)
         service.upstreams.remove(upstream)
-        self._shares.update(service)
         self.limit_watch.forget(upstream)
         self.notice_watch.forget(upstream)
         upstream.pool.max_connections = 0
@@ -186,7 +184,7 @@
         connection_pool = pool.ConnectionPool(
             self.reactor,
             entry.address,
-            self._shares.limit(service),
+            self._connection_limit(service),
             self.header_names.request_id,
             self.now_ms,
             service.dispatch_queue,
@@ -204,7 +202,6 @@
         )
         self._upstreams[entry.upstream] = upstream
         service.upstreams.append(upstream)
-        self._shares.update(service)
         return upstream
 
     def service(self, name: ids.ServiceName) -> services.Service:
@@ -245,40 +242,30 @@
     # Calls --------------------------------------------------------------
 
     def untried_upstreams(
-        self,
-        service: services.Service,
-        tried: set[ids.UpstreamId],
-        hedge: bool,
+        self, service: services.Service, tried: set[ids.UpstreamId]
     ) -> list[services.Upstream]:
         """Return the upstreams of a service that are not in ``tried``.
 
         Upstreams that answered 421 (Misdirected Request) are left out, and
         so are those that asked for no calls. Those that leave are left out
-        while another one is expected to answer. Those that are not
-        assigned to this node are left out while an assigned one is
-        dependable; for a ``hedge`` that includes those that were tried.
+        while another one is expected to answer.
         """
-        self._shares.assign_if_due(service)
         now_ms = self.now_ms()
         normal = []
         leaving = []
-        unassigned = []
         for upstream in service.upstreams:
             if upstream.name in tried:
                 continue
             match upstream.usage(now_ms):
-                case upstream_notices.Usage.NORMAL if upstream.assigned:
-                    normal.append(upstream)
                 case upstream_notices.Usage.NORMAL:
-                    unassigned.append(upstream)
+                    normal.append(upstream)
                 case upstream_notices.Usage.LAST_CHOICE:
                     leaving.append(upstream)
-        if all(upstream.health.unavailable(now_ms) for upstream in normal):
-            normal += leaving
-        first_choice = service.upstreams if hedge else normal
-        if any(upstream.dependable(now_ms) for upstream in first_choice):
-            return normal
-        return normal + unassigned
+        if leaving and all(
+            upstream.health.unavailable(now_ms) for upstream in normal
+        ):
+            return normal + leaving
+        return normal
 
     def find_upstream(
         self, name: ids.UpstreamId, started_at_ms: int
@@ -346,9 +333,7 @@
         """
         now_ms = self.now_ms()
         run_ms = now_ms - outbound.received_at_ms
-        self.crash_history.record_crashes(
-            fingerprint, crashes, now_ms, run_ms
-        )
+        self.crash_history.record_crashes(fingerprint, crashes, now_ms, run_ms)
         self.metrics.count("strikes")
         self.log.limited_event(
             "strike",
--- a/packages/tier/src/godwitflow/tier/node.py
+++ b/packages/tier/src/godwitflow/tier/node.py
@@ -162,9 +162,7 @@
             log,
             lambda: self.stage is Stage.STOPPING,
         )
-        self._caller_listener = front.Listener(
-            now_ms, self._on_request, log
-        )
+        self._caller_listener = front.Listener(now_ms, self._on_request, log)
         self._readiness_listener = front.Listener(
             now_ms, self._on_ready_check, log
         )
@@ -374,7 +372,7 @@
     def on_members_changed(self) -> None:
         """Update the nodes that share caps, budgets and rate limits."""
         self.permits.on_members_changed()
-        self.dispatcher.apply_members(self.peers.sharing_nodes())
+        self.dispatcher.apply_node_count(self.peers.node_count())
 
     # Requests -----------------------------------------------------------
 
--- a/packages/tier/src/godwitflow/tier/peer_protocol.py
+++ b/packages/tier/src/godwitflow/tier/peer_protocol.py
@@ -16,7 +16,6 @@
 from godwitflow.policy import address_choice
 from godwitflow.policy import input_delay
 from godwitflow.policy import membership
-from godwitflow.policy import ownership
 from godwitflow.tier import introductions
 from godwitflow.tier import log as logs
 from godwitflow.tier import traffic as traffic_module
@@ -337,19 +336,12 @@
         """Return the members that are not known to be dead, self included."""
         return self.membership.non_dead_members()
 
-    def sharing_nodes(self) -> list[ownership.Candidate]:
-        """Return the nodes that share caps and budgets.
+    def node_count(self) -> int:
+        """Return the number of nodes that share caps and budgets.
 
         Members that died a short time ago are included: they are likely
         to restart, or are only partitioned and still send calls.
         """
-        return [
-            ownership.Candidate(member.node, member.failure_domain)
-            for member in self.membership.all_members()
-        ]
-
-    def node_count(self) -> int:
-        """Return the number of nodes that share caps and budgets."""
         return len(self.membership.all_members())
 
 
--- a/packages/tier/src/godwitflow/tier/pool.py
+++ b/packages/tier/src/godwitflow/tier/pool.py
@@ -37,10 +37,9 @@
 
     Each connection carries one call at a time. ``on_capacity`` is called
     when a connection becomes idle or closes, so that another call can be
-    sent. Without ``keep_idle`` a connection is closed after one call.
-    ``id_header`` is the lower-case name of the header in which responses
-    echo the request id. ``bytes_carried`` and ``receive_memory`` may be
-    shared by pools.
+    sent. ``id_header`` is the lower-case name of the header in which
+    responses echo the request id. ``bytes_carried`` and
+    ``receive_memory`` may be shared by pools.
     """
 
     def __init__(
@@ -59,7 +58,6 @@
         self.bytes_carried = bytes_carried or byte_count.ByteCount()
         self.id_header = id_header
         self.max_connections = max_connections
-        self.keep_idle = True
         self.opened_count = 0
         self.now_ms = now_ms
         self._reactor = reactor
@@ -105,8 +103,7 @@
 
     def on_idle(self, connection: upstreams.UpstreamConnection) -> None:
         """Return a connection to the pool, or close it if over the limit."""
-        surplus = len(self._connections) > self.max_connections
-        if surplus or not self.keep_idle:
+        if len(self._connections) > self.max_connections:
             connection.close()
             return
         self._idle.append(connection)
--- a/packages/tier/src/godwitflow/tier/services.py
+++ b/packages/tier/src/godwitflow/tier/services.py
@@ -5,7 +5,6 @@
 import typing
 
 from godwitflow.model import ids
-from godwitflow.policy import connection_shares
 from godwitflow.policy import rate_limits
 from godwitflow.policy import registrations
 from godwitflow.policy import replica_choice
@@ -22,11 +21,10 @@
 
     ``other_domain`` is set if it is in another failure domain than this
     node. ``misdirected`` is set once it has answered 421 (Misdirected
-    Request). ``notices`` is what it has said of itself. An upstream that
-    is not ``assigned`` to this node has no connection left for it.
-    ``call_starts`` holds the start times of calls in flight, oldest first.
-    A permit for a call was denied until ``denied_until_ms``, and for an
-    urgent call until ``urgent_denied_until_ms``.
+    Request). ``notices`` is what it has said of itself. ``call_starts``
+    holds the start times of calls in flight, oldest first. A permit for a
+    call was denied until ``denied_until_ms``, and for an urgent call until
+    ``urgent_denied_until_ms``.
     """
 
     registration: registrations.Registration
@@ -34,7 +32,6 @@
     health: replica_choice.ReplicaHealth
     other_domain: bool
     misdirected: bool = False
-    assigned: bool = True
     notices: upstream_notices.Notices = dataclasses.field(
         default_factory=upstream_notices.Notices
     )
@@ -50,23 +47,6 @@
         """The upstream's id."""
         return self.registration.upstream
 
-    @property
-    def replica(self) -> connection_shares.Replica:
-        """The upstream as one of its service's replicas."""
-        return connection_shares.Replica(
-            self.name, self.registration.failure_domain
-        )
-
-    def set_assigned(self, assigned: bool) -> None:
-        """Set whether this node has a share of the connections.
-
-        Without one, a connection is kept for a single call only.
-        """
-        self.assigned = assigned
-        self.pool.keep_idle = assigned
-        if not assigned:
-            self.pool.close_idle()
-
     @property
     def limited(self) -> bool:
         """Whether each call needs a permit."""
@@ -82,18 +62,6 @@
         """Return whether calls may be made at all."""
         return self.usage(now_ms) is not upstream_notices.Usage.NONE
 
-    def dependable(self, now_ms: float) -> bool:
-        """Return whether an assigned upstream takes calls and may answer.
-
-        One that states a rate limit may be out of permits at any time.
-        """
-        return (
-            self.assigned
-            and not self.limited
-            and self.takes_calls(now_ms)
-            and not self.health.unavailable(now_ms)
-        )
-
     def on_denied(self, urgent: bool, until_ms: float) -> None:
         """Record that no permit can be had until a point in time.
 
@@ -152,7 +120,6 @@
         self.name = name
         self.connection_cap = DEFAULT_CONNECTION_CAP
         self.upstreams: list[Upstream] = []
-        self.assignment_due = False
         self.retry_budget = retry_budget.RetryBudget(retry_limits)
         self.queue: list[tuple[int, int, QueuedCall]] = []
         self._dispatching = False
--- a/packages/tier/src/godwitflow/tier/subrequest.py
+++ b/packages/tier/src/godwitflow/tier/subrequest.py
@@ -116,16 +116,15 @@
     def _eligible_upstreams(self) -> list[services.Upstream]:
         """Return the untried upstreams that a call may be made to.
 
-        There are none after the deadline. After a denied permit, limited upstreams are the last choice. The
-        others take over their calls only as far as they have room.
+        There are none after the deadline. After a denied permit, limited
+        upstreams are the last choice. The others take over their calls only
+        as far as they have room.
         """
         now_ms = self.dispatcher.now_ms()
         if now_ms >= self.outbound.deadline_at_ms:
             self._reason = results.NoResponseReason.TIMED_OUT
             return []
-        untried = self.dispatcher.untried_upstreams(
-            self.service, self._tried, hedge=bool(self._in_flight)
-        )
+        untried = self.dispatcher.untried_upstreams(self.service, self._tried)
         permitted = [
             upstream
             for upstream in untried
@@ -248,8 +247,6 @@
         self.dispatcher.limit_watch.on_call(
             upstream, limit_watch.CallKind.TRIAL if trial else kind
         )
-        if not upstream.assigned:
-            self.dispatcher.metrics.count("calls_beyond_share")
         if trial and self.outbound.idempotent:
             self.hedge()  # a failing trial call must not delay the request
         return True
