--- a/packages/tier/src/godwitflow/tier/dispatcher.py
+++ b/packages/tier/src/godwitflow/tier/dispatcher.py
@@ -58,8 +58,8 @@
     """Selects upstreams for calls and tracks their health and latency.
 
     ``on_crashes`` is called with the fingerprint of a request that
-    crashed upstreams, the number of crashes and how long it ran, in ms.
-    ``permits`` has to be set before the first call.
+    crashed upstreams and the number of crashes. ``permits`` has to be set
+    before the first call.
     """
 
     def __init__(
@@ -85,9 +85,9 @@
         self._cap_divisor = 1
         self.crash_history = crash_history.CrashHistory()
         self._observations = observations.Observations()
-        self.on_crashes: typing.Callable[
-            [ids.Fingerprint, int, float], None
-        ] = _ignore_crashes
+        self.on_crashes: typing.Callable[[ids.Fingerprint, int], None] = (
+            _ignore_crashes
+        )
         self.permits: permits.Permits
         self.call_count = 0
         self.random = random.Random(seed)
@@ -331,9 +331,7 @@
 
         The request is counted, logged and reported to ``on_crashes``.
         """
-        now_ms = self.now_ms()
-        run_ms = now_ms - outbound.received_at_ms
-        self.crash_history.record_crashes(fingerprint, crashes, now_ms, run_ms)
+        self.crash_history.record_crashes(fingerprint, crashes, self.now_ms())
         self.metrics.count("strikes")
         self.log.limited_event(
             "strike",
@@ -341,7 +339,7 @@
             fingerprint=f"{fingerprint:016x}",
             crashes=crashes,
         )
-        self.on_crashes(fingerprint, crashes, run_ms)
+        self.on_crashes(fingerprint, crashes)
 
     def record_repeated_call(
         self,
@@ -495,9 +493,7 @@
             upstream.health.on_peer_report(self.now_ms(), observation)
 
 
-def _ignore_crashes(
-    fingerprint: ids.Fingerprint, crashes: int, run_ms: float
-) -> None:
+def _ignore_crashes(fingerprint: ids.Fingerprint, crashes: int) -> None:
     """Default ``on_crashes``; a node replaces it to inform its peers."""
 
 
--- a/packages/tier/src/godwitflow/tier/node.py
+++ b/packages/tier/src/godwitflow/tier/node.py
@@ -306,9 +306,9 @@
         return self.replication.revisions()
 
     def _broadcast_crashes(
-        self, fingerprint: ids.Fingerprint, crashes: int, run_ms: float
+        self, fingerprint: ids.Fingerprint, crashes: int
     ) -> None:
-        entry = messages.Suspicion(fingerprint, crashes, round(run_ms, 1))
+        entry = messages.Suspicion(fingerprint, crashes, 0.0)
         self.peers.broadcast(messages.Suspicions((entry,)))
 
     def on_suspicions(self, message: messages.Suspicions) -> None:
@@ -328,7 +328,7 @@
                 )
             else:
                 history.record_crashes(
-                    entry.fingerprint, entry.crashes, now_ms, entry.age_ms
+                    entry.fingerprint, entry.crashes, now_ms
                 )
 
     def suspicions(self) -> messages.Suspicions:
--- a/packages/wire/src/godwitflow/wire/messages.py
+++ b/packages/wire/src/godwitflow/wire/messages.py
@@ -235,9 +235,8 @@
 class Suspicion(msgspec.Struct, frozen=True, array_like=True):
     """A request fingerprint and its number of upstream crashes.
 
-    Without ``runs`` it reports one more run of the request, which began
-    ``age_ms`` ago, else all runs that the sender knows of; the last one
-    was ``age_ms`` ago.
+    Without ``runs`` it reports one more run of the request, else all runs
+    that the sender knows of; the last one was ``age_ms`` ago.
     """
 
     fingerprint: ids.Fingerprint
