--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 
 BENCH_PORT ?= 18391
 
-.PHONY: test demo demo-nordvind demo-platform measure bench slopes concert soak lint clean
+.PHONY: test demo demo-brittany demo-nordvind measure bench slopes concert soak lint clean
 
 $(STAMP): requirements.txt $(wildcard packages/*/pyproject.toml) \
 		platform/pyproject.toml
@@ -37,16 +37,17 @@
 		fi; \
 	done
 
+# Three nodes on the users' protocol, and what goes wrong, explained.
 demo: $(STAMP)
+	@$(BIN)/python -m godwitflow.soak.demo
+
+# The product's own protocol, with the sizes of each deployment.
+demo-brittany: $(STAMP)
 	$(BIN)/godwitflow demo --deployment brittany
 
 demo-nordvind: $(STAMP)
 	$(BIN)/godwitflow demo --deployment svealand
 
-# Three nodes on the platform's protocol: a query, a part, a stop.
-demo-platform: $(STAMP)
-	@$(BIN)/python -m godwitflow.soak.demo
-
 measure: $(STAMP)
 	@rm -rf $(MEASURED); mkdir -p $(MEASURED)
 	@$(BIN)/python -m godwitflow.lab.report plan "$(SCENARIO)" \
--- a/packages/soak/src/godwitflow/soak/demo.py
+++ b/packages/soak/src/godwitflow/soak/demo.py
@@ -1,7 +1,9 @@
 """Runs three nodes on the platform's protocol and prints what they do.
 
-The demo shows a complete answer, a partial answer while a shard does not
-respond, and the stop of a node, the last two with their log lines.
+The demo shows a complete answer; a request that is served though an
+upstream is lost, and one that is refused while all want no calls; a partial
+answer while a shard does not respond; and the stop of a node. What the logs
+say explains each of them.
 """
 
 import pathlib
@@ -19,9 +21,12 @@
 from godwitflow.soak import deployment as deployments
 from godwitflow.soak import history as histories
 from godwitflow.soak import proxies
+from godwitflow.standins import fake_upstream
 
 NODE_COUNT = 3
+SERVICE = "solo"
 SILENT_SHARD = "shard-b"
+PAUSE_S = "2"
 MAX_QUERIES = 40
 SETTLE_S = 1.5
 READY_TIMEOUT_S = 60.0
@@ -55,6 +60,8 @@
         try:
             await self._start()
             await self._show_complete()
+            await self._show_lost_upstream()
+            await self._show_refused()
             await self._show_partial()
             await self._show_stop()
         finally:
@@ -65,6 +72,7 @@
             node.kill()
 
     async def _start(self) -> None:
+        print(f"Starting {NODE_COUNT} nodes")
         started_at_s = time.monotonic()
         for node in self._deployment.nodes:
             node.start()
@@ -77,24 +85,77 @@
             f"{NODE_COUNT} nodes are ready; their logs are in {self._folder}"
         )
 
-    async def _query(self) -> histories.RequestRecord:
+    async def _send(self, kind: Kind) -> histories.RequestRecord:
         endpoints, process = self._deployment.current_processes()[0]
-        return await self._caller.send_request(endpoints, process, Kind.GATHER)
+        return await self._caller.send_request(endpoints, process, kind)
+
+    async def _send_until(
+        self,
+        kind: Kind,
+        found: typing.Callable[[histories.RequestRecord], bool],
+    ) -> histories.RequestRecord:
+        """Send requests until one is as wanted; return the last one."""
+        for _ in range(MAX_QUERIES):
+            record = await self._send(kind)
+            if found(record):
+                break
+        return record
+
+    def _upstreams_of(
+        self, service: str
+    ) -> list[deployments.RegisteredUpstream]:
+        return [
+            registered
+            for registered in self._deployment.upstreams.values()
+            if registered.upstream.service == service
+        ]
 
     async def _show_complete(self) -> None:
-        record = await self._query()
+        record = await self._send(Kind.GATHER)
         print(f"\nA query over {len(deployments.SHARDS)} shards:")
         self._print_record(record)
 
+    async def _show_lost_upstream(self) -> None:
+        domain = self._deployment.nodes[0].endpoints.failure_domain
+        lost = next(
+            registered
+            for registered in self._upstreams_of(SERVICE)
+            if registered.failure_domain == domain
+        )
+        lost.proxy.set_mode(proxies.Mode.RESET)
+        record = await self._send_until(
+            Kind.IDEMPOTENT, lambda sent: bool(self._log_lines(sent))
+        )
+        lost.proxy.set_mode(proxies.Mode.PASS)
+        print(f"\nA request while {lost.upstream.name} of {SERVICE} is lost:")
+        self._print_record(record)
+        self._print_log_lines(record)
+
+    async def _show_refused(self) -> None:
+        upstreams = [
+            registered.upstream for registered in self._upstreams_of(SERVICE)
+        ]
+        for upstream in upstreams:
+            upstream.fault = fake_upstream.Fault.REJECT
+            upstream.fault_share = 1.0
+            upstream.retry_after = PAUSE_S
+        record = await self._send_until(Kind.IDEMPOTENT, self._is_paused)
+        for upstream in upstreams:
+            upstream.fault_share = 0.0
+        print(f"\nA request while all of {SERVICE} want no calls:")
+        self._print_record(record)
+        self._print_log_lines(record)
+
+    def _is_paused(self, record: histories.RequestRecord) -> bool:
+        return any("paused" in line for line in self._log_lines(record))
+
     async def _show_partial(self) -> None:
-        for registered in self._deployment.upstreams.values():
-            if registered.upstream.service == SILENT_SHARD:
-                registered.proxy.set_mode(proxies.Mode.DROP_BOTH)
-        for _ in range(MAX_QUERIES):
-            record = await self._query()
-            if record.missing_parts:
-                break
-        print(f"\nThe same while {SILENT_SHARD} is silent:")
+        for registered in self._upstreams_of(SILENT_SHARD):
+            registered.proxy.set_mode(proxies.Mode.DROP_BOTH)
+        record = await self._send_until(
+            Kind.GATHER, lambda sent: sent.missing_parts > 0
+        )
+        print(f"\nA query while {SILENT_SHARD} is silent:")
         self._print_record(record)
         self._print_log_lines(record)
 
@@ -125,13 +186,17 @@
         )
 
     def _print_log_lines(self, record: histories.RequestRecord) -> None:
+        for line in self._log_lines(record):
+            print(f"  {line}")
+
+    def _log_lines(self, record: histories.RequestRecord) -> list[str]:
+        """Return what the logs of all nodes say of a request."""
         lines = [
             line
             for path in sorted(self._folder.glob("*.log"))
             for line in path.read_text().splitlines()
         ]
-        for line in explanation.explain(record.request, lines):
-            print(f"  {line}")
+        return explanation.explain(record.request, lines)
 
     def _event_lines(self, node: str, events: tuple[str, ...]) -> list[str]:
         text = (self._folder / f"{node}.log").read_text()
