Let the store of the soak name the idle time of its connections

A store that names 60 s lets nodes use connections again that fell silent meanwhile, which no run played: ours named none, and then a connection is used again for half a second only. Drawn for each run.

--- a/packages/soak/src/godwitflow/soak/deployment.py
+++ b/packages/soak/src/godwitflow/soak/deployment.py
@@ -19,6 +19,7 @@
 REPLICAS = 3
 PORTS_PER_NODE = 4
 DRAIN_WAIT_S = 4.0
+KEEP_ALIVE_TIMES_S = (None, 60)
 
 
 @dataclasses.dataclass(slots=True)
@@ -53,6 +54,7 @@
         self.random = rng
         self.history = histories.History(SHARDS)
         self.store = fake_store.FakeStore(reactor)
+        self.store.keep_alive_s = rng.choice(KEEP_ALIVE_TIMES_S)
         self.configuration_number = 0
         self.upstreams: dict[str, RegisteredUpstream] = {}
         self.nodes: list[processes.NodeProcess] = []
