--- a/packages/policy/src/godwitflow/policy/header_decimals.py
+++ b/packages/policy/src/godwitflow/policy/header_decimals.py
@@ -1,5 +1,6 @@
 """Reads plain decimal numbers from the values of a header."""
 
+import dataclasses
 import re
 import typing
 
@@ -24,6 +25,34 @@
     ]
 
 
-def shorten(values: typing.Sequence[bytes]) -> str:
-    """Return the beginning of a header's values, for a log line."""
-    return b", ".join(values)[:MAX_BYTES].decode("latin-1")
+@dataclasses.dataclass(frozen=True, slots=True)
+class NotStated:
+    """The header is missing."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unreadable:
+    """No value is a plain decimal number; ``text`` is their beginning."""
+
+    text: str
+
+
+def read_one(
+    values: typing.Sequence[bytes],
+    choose: typing.Callable[[list[float]], float],
+) -> float | NotStated | Unreadable:
+    """Return the number that a header states.
+
+    ``choose`` chooses among several.
+
+    >>> read_one([b"x", b"4", b"9"], min)
+    4.0
+    >>> read_one([], min), read_one([b"-1"], min)
+    (NotStated(), Unreadable(text='-1'))
+    """
+    if not values:
+        return NotStated()
+    numbers = read(values)
+    if numbers:
+        return choose(numbers)
+    return Unreadable(b", ".join(values)[:MAX_BYTES].decode("latin-1"))
--- a/packages/policy/src/godwitflow/policy/rate_limits.py
+++ b/packages/policy/src/godwitflow/policy/rate_limits.py
@@ -25,19 +25,7 @@
     calls_per_s: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class NotStated:
-    """The response states no limit."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Unreadable:
-    """The response states a limit that is not a decimal number."""
-
-    text: str
-
-
-Statement = Stated | NotStated | Unreadable
+Statement = Stated | header_decimals.NotStated | header_decimals.Unreadable
 
 
 def read_statement(values: typing.Sequence[bytes]) -> Statement:
@@ -53,12 +41,11 @@
     >>> read_statement([b"-1"])
     Unreadable(text='-1')
     """
-    if not values:
-        return NotStated()
-    rates = header_decimals.read(values)
-    if rates:
-        return Stated(max(MIN_CALLS_PER_S, min(rates)))
-    return Unreadable(header_decimals.shorten(values))
+    match header_decimals.read_one(values, min):
+        case float(rate):
+            return Stated(max(MIN_CALLS_PER_S, rate))
+        case unstated:
+            return unstated
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -122,7 +109,7 @@
     match statement:
         case Stated(calls_per_s):
             return LimitNews(calls_per_s, now_ms, source)
-        case NotStated():
+        case header_decimals.NotStated():
             return LimitNews(None, call_started_at_ms, source)
-        case Unreadable():
+        case header_decimals.Unreadable():
             return None
--- a/packages/policy/src/godwitflow/policy/upstream_notices.py
+++ b/packages/policy/src/godwitflow/policy/upstream_notices.py
@@ -81,19 +81,9 @@
     pause_ms: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class NoPauseStated:
-    """The response names no time."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class PauseUnreadable:
-    """The response names something that is no number of seconds."""
-
-    text: str
-
-
-PauseStatement = PauseStated | NoPauseStated | PauseUnreadable
+PauseStatement = (
+    PauseStated | header_decimals.NotStated | header_decimals.Unreadable
+)
 
 
 def read_pause(values: typing.Sequence[bytes]) -> PauseStatement:
@@ -104,14 +94,13 @@
     >>> read_pause([b"0.5", b"2"])
     PauseStated(pause_ms=2000.0)
     >>> read_pause([b"-1"])
-    PauseUnreadable(text='-1')
+    Unreadable(text='-1')
     """
-    if not values:
-        return NoPauseStated()
-    times_s = header_decimals.read(values)
-    if times_s:
-        return PauseStated(max(times_s) * MS_PER_S)
-    return PauseUnreadable(header_decimals.shorten(values))
+    match header_decimals.read_one(values, max):
+        case float(pause_s):
+            return PauseStated(pause_s * MS_PER_S)
+        case unstated:
+            return unstated
 
 
 class NoticeBook:
--- a/packages/policy/tests/test_rate_limits.py
+++ b/packages/policy/tests/test_rate_limits.py
@@ -26,7 +26,7 @@
 
     def test_no_header_states_nothing(self):
         self.assertEqual(
-            rate_limits.NotStated(), rate_limits.read_statement([])
+            header_decimals.NotStated(), rate_limits.read_statement([])
         )
 
     def test_bad_values_are_unreadable(self):
@@ -44,7 +44,7 @@
         ):
             self.assertIsInstance(
                 rate_limits.read_statement([value]),
-                rate_limits.Unreadable,
+                header_decimals.Unreadable,
                 value,
             )
 
@@ -78,7 +78,7 @@
                 self.assertGreaterEqual(
                     calls_per_s, rate_limits.MIN_CALLS_PER_S
                 )
-            case rate_limits.Unreadable(text):
+            case header_decimals.Unreadable(text):
                 self.assertLessEqual(len(text), header_decimals.MAX_BYTES)
             case other:
                 self.fail(f"{other}")
@@ -110,18 +110,18 @@
         limit = rate_limits.KnownLimit()
         limit.apply(news(8.0, 1_000.0), 1_000.0)
         late = rate_limits.news_of_response(
-            rate_limits.NotStated(), 990.0, 1_010.0, NODE
+            header_decimals.NotStated(), 990.0, 1_010.0, NODE
         )
         self.assertFalse(limit.apply(late, 1_010.0))
         self.assertEqual(8.0, limit.calls_per_s)
         after = rate_limits.news_of_response(
-            rate_limits.NotStated(), 1_020.0, 1_040.0, NODE
+            header_decimals.NotStated(), 1_020.0, 1_040.0, NODE
         )
         self.assertTrue(limit.apply(after, 1_040.0))
 
     def test_unreadable_statement_changes_nothing(self):
         self.assertIsNone(
             rate_limits.news_of_response(
-                rate_limits.Unreadable("x"), 1.0, 2.0, NODE
+                header_decimals.Unreadable("x"), 1.0, 2.0, NODE
             )
         )
--- a/packages/policy/tests/test_upstream_notices.py
+++ b/packages/policy/tests/test_upstream_notices.py
@@ -82,9 +82,9 @@
             case notices.PauseStated(pause_ms):
                 self.assertGreaterEqual(pause_ms, 0.0)
                 self.assertFalse(math.isnan(pause_ms))
-            case notices.PauseUnreadable(text):
+            case header_decimals.Unreadable(text):
                 self.assertLessEqual(len(text), header_decimals.MAX_BYTES)
-            case notices.NoPauseStated():
+            case header_decimals.NotStated():
                 self.assertEqual([], values)
 
     def test_odd_values_name_no_time(self):
@@ -100,7 +100,7 @@
             b"Fri, 31 Dec 1999 23:59:59 GMT",
         ):
             self.assertIsInstance(
-                notices.read_pause([value]), notices.PauseUnreadable, value
+                notices.read_pause([value]), header_decimals.Unreadable, value
             )
         heard = notices.Notices()
         heard.on_pause(0.0, 31_536_000_000.0, 0.0)
--- a/packages/tier/src/godwitflow/tier/limit_watch.py
+++ b/packages/tier/src/godwitflow/tier/limit_watch.py
@@ -10,6 +10,7 @@
 
 from godwitflow.http1 import messages
 from godwitflow.model import ids
+from godwitflow.policy import header_decimals
 from godwitflow.policy import rate_limits
 from godwitflow.tier import log as logs
 from godwitflow.tier import metrics as metrics_module
@@ -74,9 +75,9 @@
             ]
         )
         match statement:
-            case rate_limits.Unreadable(text):
+            case header_decimals.Unreadable(text):
                 self._on_unreadable(upstream, text, now_ms)
-            case rate_limits.NotStated() if failed:
+            case header_decimals.NotStated() if failed:
                 return
         news = rate_limits.news_of_response(
             statement, call_started_at_ms, now_ms, self.node
--- a/packages/tier/src/godwitflow/tier/notice_watch.py
+++ b/packages/tier/src/godwitflow/tier/notice_watch.py
@@ -4,6 +4,7 @@
 import typing
 
 from godwitflow.http1 import messages
+from godwitflow.policy import header_decimals
 from godwitflow.policy import registrations
 from godwitflow.policy import upstream_notices
 from godwitflow.tier import log as logs
@@ -60,7 +61,7 @@
             case upstream_notices.PauseStated(pause_ms):
                 self._on_pause(upstream, pause_ms, now_ms)
                 return True
-            case upstream_notices.PauseUnreadable(text):
+            case header_decimals.Unreadable(text):
                 self._on_unreadable(upstream, text)
         return False
 
