--- a/packages/tier/src/godwitflow/tier/dispatcher.py
+++ b/packages/tier/src/godwitflow/tier/dispatcher.py
@@ -1,65 +1,46 @@
-"""Chooses an upstream for each call and records the call's outcome.
+"""Chooses an upstream for each call.
 
 The dispatcher owns a connection pool and a health record for each
 upstream. For each service it owns a retry budget and a queue of calls
 that wait for connection capacity.
 """
 
-import dataclasses
 import functools
 import heapq
 import itertools
 import random
 import typing
 
-from godwitflow.http1 import messages
 from godwitflow.http1 import receive_memory
-from godwitflow.http1 import upstreams
 from godwitflow.model import ids
 from godwitflow.policy import crash_history
 from godwitflow.policy import observations
-from godwitflow.policy import quantile
 from godwitflow.policy import registrations
 from godwitflow.policy import replica_choice
 from godwitflow.policy import retry_budget
 from godwitflow.policy import routing
 from godwitflow.policy import upstream_notices
 from godwitflow.tier import headers
+from godwitflow.tier import latency_estimates
 from godwitflow.tier import limit_watch as limit_watching
 from godwitflow.tier import log as logs
 from godwitflow.tier import metrics as metrics_module
 from godwitflow.tier import notice_watch as notice_watching
 from godwitflow.tier import outbound_request
+from godwitflow.tier import outcomes
 from godwitflow.tier import permits
 from godwitflow.tier import pool
 from godwitflow.tier import services
 from godwitflow.tier import traffic as traffic_module
 
-# Initial latency estimates, as shares of a route's target time.
-INITIAL_MEDIAN_SHARE = 0.15
-INITIAL_HEDGE_DELAY_SHARE = 0.35
-HEDGE_DELAY_QUANTILE = 0.88
-MIN_MEDIAN_MS = 0.1  # latencies are divided by the median
-
-
-@dataclasses.dataclass(slots=True)
-class LatencyEstimate:
-    """Running estimates of the latency of a route's calls, in ms.
-
-    ``median`` is the median latency. ``hedge_delay`` is a high quantile:
-    a call that takes longer is hedged with a call to a second replica.
-    """
-
-    median: quantile.RunningQuantile
-    hedge_delay: quantile.RunningQuantile
-
 
 class Dispatcher:
-    """Selects upstreams for calls and tracks their health and latency.
+    """Selects upstreams for calls.
 
-    ``on_crashes`` is called with the fingerprint of a request that
-    crashed upstreams and the number of crashes. ``permits`` has to be set
-    before the first call.
+    ``outcomes`` keeps their health up to date, ``latencies`` the latency
+    of each route. ``on_crashes`` is called with the fingerprint of a
+    request that crashed upstreams and the number of crashes. ``permits``
+    has to be set before the first call.
     """
 
     def __init__(
@@ -84,7 +65,6 @@
         self.node_count = 1
         self._cap_divisor = 1
         self.crash_history = crash_history.CrashHistory()
-        self._observations = observations.Observations()
         self.on_crashes: typing.Callable[[ids.Fingerprint, int], None] = (
             _ignore_crashes
         )
@@ -94,13 +74,16 @@
         self.notice_watch = notice_watching.NoticeWatch(
             header_names.leaving, log, metrics, random.Random(seed + 1)
         )
+        self.outcomes = outcomes.Outcomes(
+            now_ms, log, limit_watch, self.notice_watch
+        )
+        self.latencies = latency_estimates.LatencyEstimates()
         self._failure_domain = failure_domain
         self._traffic = traffic
         self._receive_memory = receive_memory.ReceiveMemory()
         self._retry_limits = retry_limits
         self._services: dict[ids.ServiceName, services.Service] = {}
         self._upstreams: dict[ids.UpstreamId, services.Upstream] = {}
-        self._latency_estimates: dict[str, LatencyEstimate] = {}
         self._queue_sequence = itertools.count()
 
     # Configuration and registrations ------------------------------------
@@ -223,22 +206,6 @@
             "call_resume_failed", service=service, error=repr(error)
         )
 
-    def latency_estimate(self, route: routing.Route) -> LatencyEstimate:
-        """Return the latency estimate of a route, creating it if new."""
-        estimate = self._latency_estimates.get(route.name)
-        if estimate is None:
-            target_ms = route.target_ms
-            estimate = LatencyEstimate(
-                quantile.RunningQuantile(
-                    0.5, INITIAL_MEDIAN_SHARE * target_ms
-                ),
-                quantile.RunningQuantile(
-                    HEDGE_DELAY_QUANTILE, INITIAL_HEDGE_DELAY_SHARE * target_ms
-                ),
-            )
-            self._latency_estimates[route.name] = estimate
-        return estimate
-
     # Calls --------------------------------------------------------------
 
     def untried_upstreams(
@@ -350,9 +317,7 @@
         """Count and log a retry or hedge of a request."""
         self.metrics.count("repeated_calls", reason=reason)
         now_ms = self.now_ms()
-        hedge_delay_ms = self.latency_estimate(
-            outbound.route
-        ).hedge_delay.value
+        hedge_delay_ms = self.latencies.of(outbound.route).hedge_delay.value
         self.log.limited_event(
             "call_repeated",
             request=outbound.request_id_text,
@@ -362,125 +327,11 @@
             late_after_ms=round(hedge_delay_ms, 1),
         )
 
-    def record_outcome(
-        self,
-        upstream: services.Upstream,
-        latency: LatencyEstimate,
-        elapsed_ms: float,
-        outcome: upstreams.Outcome,
-        rejected: bool,
-    ) -> None:
-        """Update an upstream's health and latency from a call's outcome.
-
-        ``rejected`` says that the response guarantees that the upstream
-        did not execute the request.
-        """
-        now_ms = self.now_ms()
-        needed_trial = upstream.health.needs_trial(now_ms)
-        self._record_limit(upstream, elapsed_ms, outcome, rejected, now_ms)
-        paused = self._record_notices(upstream, outcome, now_ms)
-        match outcome:
-            case upstreams.Replied() if paused:
-                upstream.health.on_pause(now_ms)
-            case upstreams.Replied(response) if rejected:
-                self._record_rejection(upstream, response, now_ms)
-            case upstreams.Replied(response) if response.status < 500:
-                self._record_reply(upstream, latency, elapsed_ms, now_ms)
-            case upstreams.Failed(upstreams.FailureReason.CANCELLED):
-                self._record_cancellation(upstream, elapsed_ms, now_ms)
-            case _:
-                upstream.health.on_failure(now_ms)
-                self._observations.record_failure(upstream.name)
-        if upstream.health.needs_trial(now_ms) is not needed_trial:
-            self.log.limited_event(
-                "upstream_back" if needed_trial else "upstream_doubted",
-                upstream=upstream.name,
-                service=upstream.registration.service,
-                failure_share=round(upstream.health.failure_share, 2),
-                elapsed_ms=round(elapsed_ms, 1),
-            )
-
-    def _record_notices(
-        self,
-        upstream: services.Upstream,
-        outcome: upstreams.Outcome,
-        now_ms: float,
-    ) -> bool:
-        """Learn what the upstream says of itself.
-
-        Return whether it named a time, and so is neither slow nor faulty.
-        A 421 (Misdirected Request) is the response of another upstream.
-        """
-        match outcome:
-            case upstreams.Replied(response) if (
-                response.status != messages.MISDIRECTED
-            ):
-                return self.notice_watch.on_response(
-                    upstream, response, now_ms
-                )
-            case _:
-                return False
-
-    def _record_limit(
-        self,
-        upstream: services.Upstream,
-        elapsed_ms: float,
-        outcome: upstreams.Outcome,
-        rejected: bool,
-        now_ms: float,
-    ) -> None:
-        """Learn the upstream's rate limit from its response.
-
-        A 421 (Misdirected Request) is the response of another upstream.
-        """
-        match outcome:
-            case upstreams.Replied(response) if (
-                response.status != messages.MISDIRECTED
-            ):
-                self.limit_watch.on_response(
-                    upstream,
-                    response,
-                    now_ms - elapsed_ms,
-                    now_ms,
-                    rejected or response.status >= 500,
-                )
-
-    def _record_rejection(
-        self,
-        upstream: services.Upstream,
-        response: messages.Response,
-        now_ms: float,
-    ) -> None:
-        upstream.health.on_rejection(now_ms)
-        self._observations.record_failure(upstream.name)
-        if response.status == messages.MISDIRECTED:
-            upstream.misdirected = True
-            upstream.pool.close_idle()
-
-    def _record_reply(
-        self,
-        upstream: services.Upstream,
-        latency: LatencyEstimate,
-        elapsed_ms: float,
-        now_ms: float,
-    ) -> None:
-        median_ms = max(MIN_MEDIAN_MS, latency.median.value)
-        upstream.health.on_reply(now_ms, elapsed_ms, median_ms)
-        self._observations.record_reply(upstream.name, elapsed_ms / median_ms)
-        latency.median.record(elapsed_ms)
-        latency.hedge_delay.record(elapsed_ms)
-
-    def _record_cancellation(
-        self, upstream: services.Upstream, elapsed_ms: float, now_ms: float
-    ) -> None:
-        if upstream.health.on_cancelled(now_ms, now_ms - elapsed_ms):
-            self._observations.record_failure(upstream.name)
-
     # Peers --------------------------------------------------------------
 
     def end_observation_round(self) -> list[observations.Observation]:
         """Return the round's observations for peers and start a new round."""
-        return self._observations.end_round(self._is_degraded)
+        return self.outcomes.observations.end_round(self._is_degraded)
 
     def _is_degraded(self, name: ids.UpstreamId) -> bool:
         upstream = self._upstreams.get(name)
--- a/packages/tier/src/godwitflow/tier/gather_handler.py
+++ b/packages/tier/src/godwitflow/tier/gather_handler.py
@@ -103,7 +103,7 @@
             outbound.received_at_ms,
             outbound.deadline_at_ms,
             outbound.route.target_ms,
-            self.dispatcher.latency_estimate(outbound.route).hedge_delay.value,
+            self.dispatcher.latencies.of(outbound.route).hedge_delay.value,
             self.exchange.request.first_on_connection,
         )
 
--- a/packages/tier/src/godwitflow/tier/single_handler.py
+++ b/packages/tier/src/godwitflow/tier/single_handler.py
@@ -33,7 +33,7 @@
                 self.dispatcher.now_ms(),
                 self.outbound.deadline_at_ms,
                 self.outbound.route.target_ms,
-                self.dispatcher.latency_estimate(
+                self.dispatcher.latencies.of(
                     self.outbound.route
                 ).hedge_delay.value,
             )
--- a/packages/tier/src/godwitflow/tier/subrequest.py
+++ b/packages/tier/src/godwitflow/tier/subrequest.py
@@ -62,7 +62,7 @@
         self._on_result = on_result
         self._useful_until_ms = useful_until_ms
         self._skip_unavailable = skip_unavailable
-        self._latency = dispatcher.latency_estimate(outbound.route)
+        self._latency = dispatcher.latencies.of(outbound.route)
         self._tried: set[ids.UpstreamId] = set()
         self._in_flight: dict[int, _InFlightCall] = {}
         self._awaiting_permit = 0
@@ -340,7 +340,7 @@
         in_flight_call.upstream.on_call_end(key)
         elapsed_ms = self.dispatcher.now_ms() - in_flight_call.started_at_ms
         rejected = self._is_rejection(outcome)
-        self.dispatcher.record_outcome(
+        self.dispatcher.outcomes.record(
             in_flight_call.upstream,
             self._latency,
             elapsed_ms,
