--- a/packages/tier/src/godwitflow/tier/node.py
+++ b/packages/tier/src/godwitflow/tier/node.py
@@ -16,13 +16,13 @@
 from godwitflow.http1 import callers
 from godwitflow.http1 import messages as http_messages
 from godwitflow.model import ids
-from godwitflow.policy import crash_history
 from godwitflow.policy import node_load
 from godwitflow.policy import registrations
 from godwitflow.policy import routing
 from godwitflow.policy import stop_plan
 from godwitflow.store import objects
 from godwitflow.tier import cluster_state
+from godwitflow.tier import crash_exchange
 from godwitflow.tier import directory
 from godwitflow.tier import dispatcher as dispatching
 from godwitflow.tier import front
@@ -95,7 +95,6 @@
             seed,
             self.limit_watch,
         )
-        self.dispatcher.on_crashes = self._broadcast_crashes
         self.dispatcher.notice_watch.drain_ms = settings.bounds.drain_ms
         self.router = front.RequestRouter(self.dispatcher, log, seed)
         self.cluster_state = cluster_state.ClusterState(
@@ -126,6 +125,10 @@
             seed,
             self.traffic,
         )
+        self.crash_exchange = crash_exchange.CrashExchange(
+            self.dispatcher.crash_history, self.peers.broadcast, now_ms
+        )
+        self.dispatcher.on_crashes = self.crash_exchange.report
         self.permits = permits.Permits(
             reactor,
             now_ms,
@@ -305,47 +308,13 @@
         """Return the revisions of this node's own copies."""
         return self.replication.revisions()
 
-    def _broadcast_crashes(
-        self, fingerprint: ids.Fingerprint, crashes: int
-    ) -> None:
-        entry = messages.Suspicion(fingerprint, crashes, 0.0)
-        self.peers.broadcast(messages.Suspicions((entry,)))
-
     def on_suspicions(self, message: messages.Suspicions) -> None:
         """Process a peer's reports of requests that crash upstreams."""
-        now_ms = self._now_ms()
-        history = self.dispatcher.crash_history
-        for entry in message.entries:
-            if entry.runs:
-                last_at_ms = now_ms - max(0.0, entry.age_ms)
-                history.merge(
-                    crash_history.BlockedRequest(
-                        entry.fingerprint,
-                        entry.runs,
-                        entry.crashes,
-                        last_at_ms,
-                    )
-                )
-            else:
-                history.record_crashes(
-                    entry.fingerprint, entry.crashes, now_ms
-                )
+        self.crash_exchange.on_suspicions(message)
 
     def suspicions(self) -> messages.Suspicions:
         """Return the requests that this node refuses."""
-        now_ms = self._now_ms()
-        blocked = self.dispatcher.crash_history.blocked(now_ms)
-        return messages.Suspicions(
-            tuple(
-                messages.Suspicion(
-                    request.fingerprint,
-                    request.crashes,
-                    round(now_ms - request.last_at_ms, 1),
-                    request.runs,
-                )
-                for request in blocked
-            )
-        )
+        return self.crash_exchange.suspicions()
 
     def on_upstream_reports(self, message: messages.UpstreamReports) -> None:
         """Process a peer's reports on upstreams."""
