--- a/packages/cli/src/godwitflow/cli/explanation.py
+++ b/packages/cli/src/godwitflow/cli/explanation.py
@@ -18,7 +18,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Belief:
+class Condition:
     """What a node knew of an upstream that kept calls from it.
 
     ``until_ms`` is the end on the node's steady clock, if it is known.
@@ -30,17 +30,17 @@
     until_ms: float | None = None
 
 
-class NodeBeliefs:
+class NodeView:
     """What one node knows of upstreams, as its log lines are read."""
 
     def __init__(self) -> None:
-        self._beliefs: dict[tuple[str, str], Belief] = {}
+        self._conditions: dict[tuple[str, str], Condition] = {}
 
     def read(self, entry: Entry) -> None:
         """Follow a line of the node's log, in order of time."""
         match entry.get("event"):
             case "started":
-                self._beliefs.clear()
+                self._conditions.clear()
             case "upstream_leaving":
                 self._begin(entry, "leaving", "leaves")
             case "upstream_paused":
@@ -68,19 +68,19 @@
     ) -> None:
         upstream = str(entry.get("upstream"))
         service = str(entry.get("service"))
-        self._beliefs[upstream, kind] = Belief(
+        self._conditions[upstream, kind] = Condition(
             upstream, service, text, until_ms
         )
 
     def _end(self, entry: Entry, kind: str) -> None:
-        self._beliefs.pop((str(entry.get("upstream")), kind), None)
+        self._conditions.pop((str(entry.get("upstream")), kind), None)
 
-    def of(self, services: typing.Container[str]) -> list[Belief]:
+    def of(self, services: typing.Container[str]) -> list[Condition]:
         """Return what is known of the upstreams of services."""
         return [
-            belief
-            for belief in self._beliefs.values()
-            if belief.service in services
+            condition
+            for condition in self._conditions.values()
+            if condition.service in services
         ]
 
 
@@ -96,20 +96,20 @@
         entry for line in lines if (entry := _parse_line(line)) is not None
     ]
     entries.sort(key=lambda entry: _number(entry, "time"))
-    beliefs: dict[str, NodeBeliefs] = {}
+    views: dict[str, NodeView] = {}
     explained: list[str] = []
-    shown: set[tuple[str, Belief]] = set()
+    shown: set[tuple[str, Condition]] = set()
     for entry in entries:
         node = str(entry.get("node", "?"))
-        known = beliefs.setdefault(node, NodeBeliefs())
+        view = views.setdefault(node, NodeView())
         if entry.get("request") != request:
-            known.read(entry)
+            view.read(entry)
             continue
         explained.append(_format_entry(entry))
-        for belief in known.of(_services(entry)):
-            if (node, belief) not in shown:
-                shown.add((node, belief))
-                explained.append(_format_belief(belief, entry))
+        for condition in view.of(_services(entry)):
+            if (node, condition) not in shown:
+                shown.add((node, condition))
+                explained.append(_format_condition(condition, entry))
     return explained
 
 
@@ -148,9 +148,9 @@
     return f"{prefix} {entry.get('event', '?')} {rest}"
 
 
-def _format_belief(belief: Belief, entry: Entry) -> str:
-    text = f"    {belief.upstream} of {belief.service} {belief.text}"
-    if belief.until_ms is None:
+def _format_condition(condition: Condition, entry: Entry) -> str:
+    text = f"    {condition.upstream} of {condition.service} {condition.text}"
+    if condition.until_ms is None:
         return text
-    left_s = (belief.until_ms - _number(entry, "steady_ms")) / MS_PER_S
+    left_s = (condition.until_ms - _number(entry, "steady_ms")) / MS_PER_S
     return f"{text} for {max(0.0, left_s):.1f} s more"
--- a/packages/cli/tests/test_explanation.py
+++ b/packages/cli/tests/test_explanation.py
@@ -47,8 +47,8 @@
         self.assertEqual(1, len(explanation.explain("r1", lines)))
 
 
-class NodeBeliefsTest(unittest.TestCase):
-    def beliefs(self, *lines):
+class NodeViewTest(unittest.TestCase):
+    def known(self, *lines):
         """Return what the node knew when it repeated the call."""
         story = explanation.explain("r1", [*lines, RETRIED])
         return [text.strip() for text in story if text.startswith(" ")]
@@ -56,7 +56,7 @@
     def test_notice_is_the_reason_of_the_choice_of_another_upstream(self):
         self.assertEqual(
             ["u1 of one wants no calls for 1.5 s more", "u2 of one leaves"],
-            self.beliefs(
+            self.known(
                 notice(4.5, "upstream_paused", pause_ms=2_000.0),
                 notice(4.7, "upstream_leaving", upstream="u2"),
             ),
@@ -66,7 +66,7 @@
         other = line(4.0, "upstream_leaving", upstream="u3", service="two")
         self.assertEqual(
             [],
-            self.beliefs(
+            self.known(
                 notice(4.0, "upstream_paused", pause_ms=500.0),
                 notice(4.6, "upstream_resumed"),
                 notice(4.0, "upstream_doubted"),
@@ -80,7 +80,7 @@
     def test_what_another_node_or_an_earlier_process_knew_is_left_out(self):
         self.assertEqual(
             [],
-            self.beliefs(
+            self.known(
                 line(
                     4.0,
                     "upstream_leaving",
