Show that crowds of large bodies exhaust a node's memory

The new test starts a node on loopback whose settings name a small VM (96 MB, 512 descriptors) and sends 600 clients in four forms.

--- a/packages/soak/src/godwitflow/soak/callers.py
+++ b/packages/soak/src/godwitflow/soak/callers.py
@@ -66,13 +66,16 @@
         )
 
     async def send_request(
-        self, endpoints: Endpoints, process: str, kind: Kind
+        self,
+        endpoints: Endpoints,
+        process: str,
+        kind: Kind,
+        body: bytes = b"",
     ) -> histories.RequestRecord:
         """Send one request to a node; return its record."""
         self._request_count += 1
         request_id = f"{self._name}x{self._request_count}"
-        body = b""
-        method = "GET"
+        method = "POST" if body else "GET"
         if kind is Kind.NON_IDEMPOTENT:
             method = "POST"
             body = self._random.randbytes(self._random.choice((0, 9, 40_000)))
--- /dev/null
+++ b/packages/soak/src/godwitflow/soak/crowd.py
@@ -0,0 +1,248 @@
+"""A crowd of clients that send large bodies to one node.
+
+Three of four clients stop just short of the end of their request and keep
+the connection open. The node's settings name a small VM, so that a small
+crowd exceeds what the node may hold. The report has nothing that depends on
+the speed of the machine.
+"""
+
+import dataclasses
+import enum
+import json
+import pathlib
+import random
+import tempfile
+import typing
+
+import cyclopts
+from twisted.internet import defer
+from twisted.internet import interfaces
+from twisted.internet import protocol
+from twisted.internet import task
+from zope.interface import implementer
+
+from godwitflow.soak import callers
+from godwitflow.soak import deployment as deployments
+from godwitflow.soak import history as histories
+from godwitflow.soak import processes
+from godwitflow.standins import fixtures
+
+MEMORY_MB = 96
+MAX_DESCRIPTORS = 512
+CLIENTS = 600
+BODY_BYTES = 262_144  # the most that the configuration allows
+PIECE_BYTES = 8_192
+LARGE_CHUNK_BYTES = 65_536
+SMALL_CHUNK_BYTES = 8
+SMALL_CHUNKS_BODY_BYTES = 131_072
+COMPLETE_EVERY = 4  # one client of this many sends its request whole
+REQUEST_TIMEOUT_MS = 600_000  # no client of the crowd is late
+POLL_S = 0.1
+
+app = cyclopts.App(help_format="markdown")
+
+
+class Form(enum.Enum):
+    """How the clients send their bodies."""
+
+    WHOLE = "whole"
+    PIECES = "pieces"
+    LARGE_CHUNKS = "large-chunks"
+    SMALL_CHUNKS = "small-chunks"
+
+
+@dataclasses.dataclass(slots=True)
+class Report:
+    """What a run found.
+
+    ``exit_codes`` are those of processes that ended. ``calm_status`` is
+    that of a request with the largest body allowed before the crowd came,
+    ``status`` that of an ordinary request while it is there.
+    """
+
+    exit_codes: list[int] = dataclasses.field(default_factory=list)
+    peak_mb: float = 0.0
+    descriptors: int = 0
+    calm_status: int = 0
+    status: int = 0
+
+
+def request_pieces(form: Form, number: int) -> list[bytes]:
+    """Return what one client sends, split into writes."""
+    chunked = form in (Form.LARGE_CHUNKS, Form.SMALL_CHUNKS)
+    framing = "Transfer-Encoding: chunked"
+    if not chunked:
+        framing = f"Content-Length: {BODY_BYTES}"
+    head = (
+        f"POST /all/{number} HTTP/1.1\r\nHost: {fixtures.HOST}\r\n"
+        f"Request-Id: crowd-{number}\r\n{framing}\r\n\r\n"
+    ).encode()
+    body = _body(form)
+    if number % COMPLETE_EVERY:
+        body = body[:-1]
+    if form is Form.PIECES:
+        return [head] + [
+            body[start : start + PIECE_BYTES]
+            for start in range(0, len(body), PIECE_BYTES)
+        ]
+    return [head + body]
+
+
+def _body(form: Form) -> bytes:
+    match form:
+        case Form.LARGE_CHUNKS:
+            return _chunks(BODY_BYTES, LARGE_CHUNK_BYTES)
+        case Form.SMALL_CHUNKS:
+            return _chunks(SMALL_CHUNKS_BODY_BYTES, SMALL_CHUNK_BYTES)
+        case Form.WHOLE | Form.PIECES:
+            return b"x" * BODY_BYTES
+
+
+def _chunks(body_bytes: int, chunk_bytes: int) -> bytes:
+    chunk = b"%x\r\n%b\r\n" % (chunk_bytes, b"x" * chunk_bytes)
+    return chunk * (body_bytes // chunk_bytes) + b"0\r\n\r\n"
+
+
+@implementer(interfaces.IPullProducer)
+class Client(protocol.Protocol):
+    """Sends its pieces and then stays connected.
+
+    ``settled`` is set once the kernel has taken all pieces, or the
+    connection has ended.
+    """
+
+    def __init__(self, pieces: list[bytes]) -> None:
+        self.settled = False
+        self._pieces = list(reversed(pieces))
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Start to send."""
+        transport: typing.Any = self.transport
+        transport.registerProducer(self, False)
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Send the next piece."""
+        transport: typing.Any = self.transport
+        if self._pieces:
+            transport.write(self._pieces.pop())
+            return
+        transport.unregisterProducer()
+        self.settled = True
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """Stop sending, as the connection has ended."""
+        self.settled = True
+
+    def connectionLost(  # noqa: N802
+        self, reason: typing.Any = protocol.connectionDone
+    ) -> None:
+        """Note that the node has closed the connection."""
+        self.settled = True
+
+
+class _ClientFactory(protocol.ClientFactory):
+    noisy = False
+
+    def __init__(self, client: Client) -> None:
+        self._client = client
+
+    def buildProtocol(self, addr: typing.Any) -> Client:  # noqa: N802
+        return self._client
+
+    def clientConnectionFailed(  # noqa: N802
+        self, connector: typing.Any, reason: typing.Any
+    ) -> None:
+        self._client.settled = True
+
+
+class CrowdRun:
+    """One node, a crowd of one form, and an ordinary caller."""
+
+    def __init__(
+        self, reactor: typing.Any, form: Form, folder: pathlib.Path
+    ) -> None:
+        self.report = Report()
+        self._reactor = reactor
+        self._form = form
+        self._deployment = deployments.Deployment(
+            reactor,
+            1,
+            folder,
+            random.Random(1),
+            {"memoryMb": MEMORY_MB, "maxFds": MAX_DESCRIPTORS},
+            {"headerTimeoutMs": REQUEST_TIMEOUT_MS},
+        )
+        self._node = self._deployment.nodes[0]
+        self._caller = callers.Caller(
+            reactor,
+            "ordinary",
+            random.Random(2),
+            self._deployment.current_processes,
+            self._deployment.history,
+            lambda: self._deployment.configuration_number,
+        )
+
+    async def run(self) -> Report:
+        """Play the crowd and return what was found."""
+        self._reactor.addSystemEventTrigger(
+            "before", "shutdown", self._node.kill
+        )
+        self._node.start()
+        while not await callers.is_ready(self._reactor, self._node.endpoints):
+            await task.deferLater(self._reactor, POLL_S)
+        report = self.report
+        report.calm_status = await self._send(
+            histories.Kind.GATHER, b"x" * BODY_BYTES
+        )
+        await self._send_crowd()
+        report.descriptors = self._node.descriptor_count()
+        report.status = await self._send(histories.Kind.IDEMPOTENT, b"")
+        report.peak_mb = round(self._node.peak_memory_mb(), 1)
+        report.exit_codes = list(self._node.exit_codes)
+        self._node.kill()
+        return report
+
+    async def _send(self, kind: histories.Kind, body: bytes) -> int:
+        record = await self._caller.send_request(
+            self._node.endpoints, self._node.endpoints.name, kind, body
+        )
+        return record.status
+
+    async def _send_crowd(self) -> None:
+        """Connect all clients and wait until they have settled."""
+        endpoints = self._node.endpoints
+        crowd = []
+        for number in range(CLIENTS):
+            client = Client(request_pieces(self._form, number))
+            crowd.append(client)
+            self._reactor.connectTCP(
+                endpoints.host, endpoints.front_port, _ClientFactory(client)
+            )
+        while not all(client.settled for client in crowd):
+            await task.deferLater(self._reactor, POLL_S)
+
+
+@app.default
+def crowd(form: str) -> None:
+    """Send a crowd of clients to one node and print what happened.
+
+    Parameters
+    ----------
+    form
+        How the clients send their bodies: whole, pieces, large-chunks or
+        small-chunks.
+    """
+    from twisted.internet import reactor  # noqa: PLC0415
+
+    async def run() -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            report = await CrowdRun(
+                reactor, Form(form), pathlib.Path(folder)
+            ).run()
+        print(json.dumps(dataclasses.asdict(report)), flush=True)
+
+    task.react(lambda _: defer.ensureDeferred(run()))
+
+
+if __name__ == "__main__":
+    app()
--- a/packages/soak/src/godwitflow/soak/deployment.py
+++ b/packages/soak/src/godwitflow/soak/deployment.py
@@ -39,6 +39,8 @@
 class Deployment:
     """The store, upstreams, proxies and nodes of a run.
 
+    ``vm_limits`` and ``caller_limits`` replace single limits of the nodes'
+    settings and of the configuration, under the platform's names.
     ``configuration_number`` is that of the newest configuration, counted
     from 1.
     """
@@ -49,8 +51,12 @@
         nodes: int,
         folder: pathlib.Path,
         rng: random.Random,
+        vm_limits: dict[str, int] | None = None,
+        caller_limits: dict[str, int] | None = None,
     ) -> None:
         self.reactor = reactor
+        self._vm_limits = vm_limits or {}
+        self._caller_limits = caller_limits or {}
         self.random = rng
         self.history = histories.History(SHARDS)
         self.store = fake_store.FakeStore(reactor)
@@ -82,7 +88,11 @@
 
         def settings(first_start: bool) -> bytes:
             return fixtures.settings(
-                endpoints, seeds, store_address, first_start
+                endpoints,
+                seeds,
+                store_address,
+                first_start,
+                self._vm_limits,
             )
 
         self.nodes.append(
@@ -164,6 +174,7 @@
         document = fixtures.configuration(
             self.configuration_number * 3, SHARDS, service
         )
+        document["limits"].update(self._caller_limits)
         self.store.objects.write("config", "main", document)
 
 
--- a/packages/soak/src/godwitflow/soak/processes.py
+++ b/packages/soak/src/godwitflow/soak/processes.py
@@ -2,6 +2,7 @@
 
 import os
 import pathlib
+import re
 import resource
 import signal
 import sys
@@ -14,6 +15,7 @@
 
 MODULE = "godwitflow.adapter"
 RESTART_DELAY_S = 0.3
+BYTES_PER_KIB = 1_024
 BYTES_PER_MB = 1e6
 STARTUP_S = 5.0  # SIGTERM kills a node until its modules are imported
 
@@ -89,6 +91,16 @@
             return 0.0
         return int(text.split()[1]) * resource.getpagesize() / BYTES_PER_MB
 
+    def peak_memory_mb(self) -> float:
+        """Return the most memory that the running program has taken."""
+        text = pathlib.Path(f"/proc/{self._process.pid}/status").read_text()
+        (kib,) = re.findall(r"^VmHWM:\s+(\d+) kB$", text, re.MULTILINE)
+        return int(kib) * BYTES_PER_KIB / BYTES_PER_MB
+
+    def descriptor_count(self) -> int:
+        """Return how many descriptors the running program has open."""
+        return len(os.listdir(f"/proc/{self._process.pid}/fd"))
+
     def stop(self) -> None:
         """Send SIGTERM, also to a suspended program; do not restart it."""
         self._should_restart = False
