Bound what callers' requests and connections may take

What callers saw: crowds of clients with large bodies that they did not finish ended a process (out of memory).

Cause: each connection kept up to the largest body allowed, and nothing bounded the sum, nor the number of connections; a body was kept twice and copied once more into the transport of each upstream that it was sent to; trailers and many small headers were not counted.

Now the headers and bodies of all callers are counted together. Large bodies are sent to upstreams in slices of one shared copy.

--- a/packages/http1/src/godwitflow/http1/callers.py
+++ b/packages/http1/src/godwitflow/http1/callers.py
@@ -15,6 +15,7 @@
 from twisted.internet import error as net_error
 from twisted.internet import protocol
 
+from godwitflow.http1 import caller_capacity
 from godwitflow.http1 import messages
 from godwitflow.http1 import send_queue
 
@@ -22,6 +23,7 @@
 MAX_LINGERING_SEND_MS = 30_000.0
 MAX_QUEUED_REQUESTS = 8
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+NO_ROOM_RETRY_S = 1.0
 
 
 class State(enum.Enum):
@@ -96,6 +98,7 @@
     limits: Limits
     closing: bool
     connections: set["CallerConnection"]
+    capacity: caller_capacity.CallerCapacity
 
     def now_ms(self) -> float:
         """Return the time of the monotonic clock in milliseconds."""
@@ -115,6 +118,8 @@
         self.server = server
         self.state = State.IDLE
         self.state_since_ms = server.now_ms()
+        self.held_bytes = 0
+        self._request_bytes: list[int] = []  # of complete requests
         self._parser: typing.Any = httptools.HttpRequestParser(self)
         self._queue: list[messages.Request] = []
         self._first_request = True
@@ -129,6 +134,8 @@
         self._body_bytes = 0
         self._headers_complete = False
         self._header_bytes = 0
+        self._header_memory_bytes = 0
+        self._unframed_bytes = 0
         self._in_message = False
 
     # The transport ------------------------------------------------------
@@ -137,14 +144,17 @@
         """Register the connection with the server."""
         self.server.connections.add(self)
         self.transport.setTcpNoDelay(True)
+        self.server.capacity.add(self)
 
     def connectionLost(  # noqa: N802
         self, reason: typing.Any = net_error.ConnectionDone
     ) -> None:
         """Notify the current exchange that its caller disconnected."""
         self.server.connections.discard(self)
+        self.server.capacity.remove(self)
         self.state = State.CLOSING
         self._queue.clear()
+        self._reset_message()
         self._parser = None
         exchange, self._exchange = self._exchange, None
         if exchange is not None:
@@ -159,6 +169,7 @@
             self.state_since_ms = self.server.now_ms()
         if not self._headers_complete:
             self._header_bytes += len(data)
+        self._unframed_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -166,12 +177,67 @@
         except httptools.HttpParserError as error:
             if self._error_response is None:
                 self._reject(400, f"malformed request: {error}")
+        self._check_header_bytes()
+        self._update_capacity()
+        self._handle_next()
+
+    def _check_header_bytes(self) -> None:
+        """Reject headers, trailers and chunk extensions that do not end."""
         limit = self.server.limits.header_bytes
-        if self._in_message and not self._headers_complete:
-            if self._header_bytes > limit and self._error_response is None:
+        if not self._in_message or self._error_response is not None:
+            return
+        if not self._headers_complete:
+            if self._header_bytes > limit:
                 self._reject(431, f"headers exceed {limit} bytes")
+        elif self._unframed_bytes > limit:
+            self._reject(431, f"trailers exceed {limit} bytes")
+
+    # Capacity -----------------------------------------------------------
+
+    def _update_capacity(self) -> None:
+        """Account for what this connection holds now."""
+        if self.state is State.CLOSING:
+            return
+        if self._error_response is not None:
+            self._reset_message()
+        capacity = self.server.capacity
+        incomplete = 0
+        if self._headers_complete:
+            incomplete = (
+                self._header_memory_bytes
+                + self._body_bytes
+                + self._unframed_bytes
+            )
+        elif self._in_message:
+            incomplete = max(self._header_bytes, self._header_memory_bytes)
+        capacity.hold(self, sum(self._request_bytes) + incomplete)
+        capacity.on_received(self, bool(incomplete))
+
+    def refuse_incomplete(self) -> None:
+        """Refuse the request that is being received, after those before it.
+
+        The caller may try again: nothing of the request has been run.
+        """
+        self._error_response = messages.text_response(
+            503, "no room for the request", NO_ROOM_RETRY_S
+        )
+        self._reset_message()
+        self.server.capacity.hold(self, sum(self._request_bytes))
         self._handle_next()
 
+    def eviction_rank(self) -> tuple[int, float] | None:
+        """Return the order in which to close it, None while it serves."""
+        if self._exchange is not None or self._queue:
+            return None
+        order = (State.CLOSING, State.READING, State.IDLE)
+        return order.index(self.state), self.state_since_ms
+
+    def evict(self) -> None:
+        """Close the connection at once, as there are too many."""
+        self.state = State.CLOSING
+        self.server.capacity.remove(self)
+        self.transport.abortConnection()
+
     # The parser ---------------------------------------------------------
 
     def on_message_begin(self) -> None:
@@ -184,12 +250,16 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Append a header; trailers are dropped."""
-        if not self._headers_complete:
+        if not self._headers_complete and self._error_response is None:
             self._headers.append((name, value))
+            self._header_memory_bytes += (
+                len(name) + len(value) + caller_capacity.HEADER_OVERHEAD_BYTES
+            )
 
     def on_headers_complete(self) -> None:
         """Check the headers, and send 100 Continue if it is expected."""
         self._headers_complete = True
+        self._unframed_bytes = 0
         size = len(self._target) + sum(
             len(name) + len(value) + 4 for name, value in self._headers
         )
@@ -212,8 +282,13 @@
             if self._exchange is None and not self._queue:
                 self.transport.write(CONTINUE)
 
+    def on_chunk_header(self) -> None:
+        """Note that the chunk's size line, with its extensions, has ended."""
+        self._unframed_bytes = 0
+
     def on_body(self, body: bytes) -> None:
         """Append to the body, up to the limit."""
+        self._unframed_bytes = 0
         if self._error_response is not None or self._body is None:
             return
         self._body_bytes += len(body)
@@ -238,7 +313,17 @@
             self._first_request,
         )
         self._first_request = False
+        self._request_bytes.append(
+            self._header_memory_bytes + self._body_bytes
+        )
         self._reset_message()
+        capacity = self.server.capacity
+        capacity.hold(self, sum(self._request_bytes))
+        capacity.on_received(self, False)
+        if not capacity.has_room(self):
+            self._request_bytes.pop()
+            self.refuse_incomplete()
+            return
         self._queue.append(request)
         if len(self._queue) >= MAX_QUEUED_REQUESTS:
             self.transport.pauseProducing()
@@ -284,6 +369,8 @@
     ) -> None:
         """Write the response to the current request."""
         self._exchange = None
+        answered_bytes = self._request_bytes.pop(0)
+        self.server.capacity.hold(self, self.held_bytes - answered_bytes)
         close = self.server.closing or not request.keep_alive
         head_only = request.method == b"HEAD"
         self.transport.write(
@@ -313,6 +400,10 @@
         """
         self.state = State.CLOSING
         self.state_since_ms = self.server.now_ms()
+        self._queue.clear()
+        self._reset_message()
+        self.server.capacity.hold(self, 0)
+        self.server.capacity.on_received(self, False)
         self.transport.loseWriteConnection()
 
     def check_timeouts(self, now_ms: float) -> None:
--- a/packages/http1/src/godwitflow/http1/upstreams.py
+++ b/packages/http1/src/godwitflow/http1/upstreams.py
@@ -18,7 +18,9 @@
 
 import httptools
 from twisted.internet import error as net_error
+from twisted.internet import interfaces
 from twisted.internet import protocol
+from zope.interface import implementer
 
 from godwitflow.http1 import byte_count
 from godwitflow.http1 import messages
@@ -32,6 +34,7 @@
 DEFAULT_KEEP_ALIVE_MS = 500.0
 MAX_KEEP_ALIVE_DIGITS = 9
 LARGE_REQUEST_BYTES = 32_768  # connections that sent more are not reused
+BODY_SLICE_BYTES = 16_384
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
 MS_PER_S = 1_000.0
@@ -69,9 +72,20 @@
 
 
 class Call:
-    """A request to one upstream; ``on_outcome`` is called exactly once."""
+    """A request to one upstream; ``on_outcome`` is called exactly once.
 
-    __slots__ = ("_done", "data", "head_only", "on_outcome", "request_id")
+    ``data`` is the request without its body. The calls of one request share
+    the ``body``.
+    """
+
+    __slots__ = (
+        "_done",
+        "body",
+        "data",
+        "head_only",
+        "on_outcome",
+        "request_id",
+    )
 
     def __init__(
         self,
@@ -79,8 +93,10 @@
         request_id: bytes | None,
         head_only: bool,
         on_outcome: typing.Callable[[Outcome], None],
+        body: bytes = b"",
     ) -> None:
         self.data = data
+        self.body = body
         self.request_id = request_id
         self.head_only = head_only
         self.on_outcome = on_outcome
@@ -93,6 +109,32 @@
             self.on_outcome(outcome)
 
 
+@implementer(interfaces.IPullProducer)
+class _BodySender:
+    """Sends a large body as fast as the transport takes it.
+
+    The transport copies what it cannot send at once, so a whole body would
+    take its size once more for each upstream that it is sent to.
+    """
+
+    def __init__(self, transport: typing.Any, body: bytes) -> None:
+        self._transport = transport
+        self._body = body
+        self._offset = 0
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Send the next slice."""
+        end = self._offset + BODY_SLICE_BYTES
+        self._transport.write(self._body[self._offset : end])
+        self._offset = end
+        if end >= len(self._body):
+            self._transport.unregisterProducer()
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """Free the body, as the connection has ended."""
+        self._body = b""
+
+
 class ConnectionOwner(typing.Protocol):
     """The interface of the pool that owns a connection.
 
@@ -164,14 +206,20 @@
         self._received_bytes = 0
         self._head_start_bytes = 0
         # An upstream may respond before it has read all of a large request.
-        if call.head_only or len(call.data) > LARGE_REQUEST_BYTES:
+        request_bytes = len(call.data) + len(call.body)
+        if call.head_only or request_bytes > LARGE_REQUEST_BYTES:
             self._no_reuse = True
         if self.was_connected:
             self._write_request(call)
 
     def _write_request(self, call: Call) -> None:
-        self.owner.bytes_carried.sent += len(call.data)
+        self.owner.bytes_carried.sent += len(call.data) + len(call.body)
+        if len(call.body) <= LARGE_REQUEST_BYTES:
+            self.transport.write(call.data + call.body)
+            return
         self.transport.write(call.data)
+        sender = _BodySender(self.transport, call.body)
+        self.transport.registerProducer(sender, False)
 
     def cancel(self) -> None:
         """Cancel the current request by closing the connection."""
--- a/packages/http1/tests/test_callers.py
+++ b/packages/http1/tests/test_callers.py
@@ -10,6 +10,7 @@
 from hypothesis import strategies
 import transports
 
+from godwitflow.http1 import caller_capacity
 from godwitflow.http1 import callers
 from godwitflow.http1 import messages
 from godwitflow.http1 import send_queue
@@ -35,6 +36,7 @@
             header_timeout_ms=1_000.0,
             idle_timeout_ms=3_000.0,
         )
+        self.capacity = caller_capacity.CallerCapacity()
         self.closing = False
         self.connections = set()
         self.exchanges = []
@@ -278,3 +280,47 @@
         self.assertEqual(callers.CONTINUE, connection.transport.take())
         connection.dataReceived(b"ok")
         self.assertEqual(b"ok", server.exchanges[0].request.body)
+
+
+class CapacityTest(unittest.TestCase):
+    def setUp(self):
+        self.server = RecordingServer()
+        self.server.limits = callers.Limits()
+        self.server.capacity = caller_capacity.CallerCapacity(
+            caller_capacity.CapacityLimits(request_bytes=20_000)
+        )
+
+    def send(self, data):
+        connection = connect(self.server)
+        connection.dataReceived(data)
+        return connection
+
+    def test_incomplete_body_is_refused_as_not_run_when_there_is_no_room(self):
+        head = b"POST /x HTTP/1.1\r\nContent-Length: 15000\r\n\r\n"
+        first = self.send(head + b"x" * 14_999)
+        second = self.send(head + b"x" * 14_999)
+        self.assertIn(b" 503 ", first.transport.written)
+        self.assertIn(b"Retry-After", first.transport.written)
+        self.assertEqual(0, first.held_bytes)
+        second.dataReceived(b"x")
+        self.assertEqual(1, len(self.server.exchanges))
+
+    def test_answered_request_holds_nothing(self):
+        connection = self.send(CHUNKED)
+        self.assertGreater(self.server.capacity.held_bytes, 0)
+        self.server.exchanges[0].respond(messages.text_response(200, "ok"))
+        self.assertEqual(0, self.server.capacity.held_bytes)
+        self.assertEqual(0, connection.held_bytes)
+
+    def test_trailers_that_do_not_end_are_rejected(self):
+        self.server.limits = callers.Limits(header_bytes=5_000)
+        head = b"POST /x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        connection = self.send(head + b"1\r\nx\r\n0\r\nA: ")
+        for _ in range(10):
+            connection.dataReceived(b"a" * 1_000)
+        self.assertIn(b" 431 ", connection.transport.written)
+
+    def test_many_small_headers_count_with_their_objects(self):
+        head = b"GET /x HTTP/1.1\r\n" + b"a:b\r\n" * 3_000
+        connection = self.send(head)
+        self.assertIn(b" 503 ", connection.transport.written)
--- a/packages/http1/tests/test_upstreams.py
+++ b/packages/http1/tests/test_upstreams.py
@@ -263,6 +263,30 @@
         self.assertFalse(pending.connection.usable(2_700.0))
 
 
+class LargeBodyTest(unittest.TestCase):
+    def test_large_body_is_not_copied_for_each_upstream_at_once(self):
+        body = bytes(range(256)) * 400
+        transport = transports.Transport()
+        connection = upstreams.UpstreamConnection(RecordingOwner())
+        connection.send(upstreams.Call(b"head", b"1", False, print, body))
+        connection.makeConnection(transport)
+        while transport.producer is not None:
+            transport.producer.resumeProducing()
+            self.assertLessEqual(
+                len(transport.take()), upstreams.BODY_SLICE_BYTES + 4
+            )
+
+    def test_large_body_is_sent_whole(self):
+        body = bytes(range(256)) * 400
+        transport = transports.Transport()
+        connection = upstreams.UpstreamConnection(RecordingOwner())
+        connection.send(upstreams.Call(b"head", b"1", False, print, body))
+        connection.makeConnection(transport)
+        while transport.producer is not None:
+            transport.producer.resumeProducing()
+        self.assertEqual(b"head" + body, transport.written)
+
+
 def without_id(response):
     return response.replace(b"Request-Id: 1\r\n", b"")
 
--- a/packages/http1/tests/transports.py
+++ b/packages/http1/tests/transports.py
@@ -12,6 +12,13 @@
         self.aborted = False
         self.write_closed = False
         self.paused = False
+        self.producer = None
+
+    def registerProducer(self, producer, streaming):  # noqa: N802
+        self.producer = producer
+
+    def unregisterProducer(self):  # noqa: N802
+        self.producer = None
 
     def write(self, data):
         self.written += data
--- a/packages/soak/src/godwitflow/soak/crowd.py
+++ b/packages/soak/src/godwitflow/soak/crowd.py
@@ -24,7 +24,6 @@
 from godwitflow.soak import callers
 from godwitflow.soak import deployment as deployments
 from godwitflow.soak import history as histories
-from godwitflow.soak import processes
 from godwitflow.standins import fixtures
 
 MEMORY_MB = 96
--- a/packages/tier/src/godwitflow/tier/front.py
+++ b/packages/tier/src/godwitflow/tier/front.py
@@ -6,6 +6,7 @@
 import msgspec
 from twisted.internet import protocol
 
+from godwitflow.http1 import caller_capacity
 from godwitflow.http1 import callers
 from godwitflow.http1 import messages
 from godwitflow.model import ids
@@ -39,8 +40,10 @@
         now_ms: typing.Callable[[], float],
         handler: typing.Callable[[callers.Exchange], None],
         log: logs.Log,
+        capacity: caller_capacity.CallerCapacity,
     ) -> None:
         self.limits = callers.Limits()
+        self.capacity = capacity
         self.closing = False
         self.connections: set[callers.CallerConnection] = set()
         self.now_ms = now_ms
@@ -231,12 +234,12 @@
         tail = b"\r\n"
         if request.body is not None:
             tail = b"Content-Length: %d\r\n\r\n" % len(request.body)
-            tail += request.body
         return outbound_request.OutboundRequest(
             messages.find_header(request.headers, names.request_id),
             request.method,
             data[:-2],
             tail,
+            request.body or b"",
             route,
             request.received_at_ms,
             request.received_at_ms + deadline_ms,
--- a/packages/tier/src/godwitflow/tier/node.py
+++ b/packages/tier/src/godwitflow/tier/node.py
@@ -13,6 +13,7 @@
 from twisted.internet import defer
 from twisted.internet import task
 
+from godwitflow.http1 import caller_capacity
 from godwitflow.http1 import callers
 from godwitflow.http1 import messages as http_messages
 from godwitflow.model import ids
@@ -165,19 +166,12 @@
             log,
             lambda: self.stage is Stage.STOPPING,
         )
-        self._caller_listener = front.Listener(now_ms, self._on_request, log)
-        self._readiness_listener = front.Listener(
-            now_ms, self._on_ready_check, log
-        )
-        self._directory_listener = front.Listener(
-            now_ms, self.directory.handle, log
-        )
-        self._metrics_listener = front.Listener(
-            now_ms, self._on_metrics_request, log
-        )
-        self._inner_listener = front.Listener(
-            now_ms, self.replication.serve_fetch, log
-        )
+        self.capacity = caller_capacity.CallerCapacity(settings.capacity)
+        self._caller_listener = self._new_listener(self._on_request)
+        self._readiness_listener = self._new_listener(self._on_ready_check)
+        self._directory_listener = self._new_listener(self.directory.handle)
+        self._metrics_listener = self._new_listener(self._on_metrics_request)
+        self._inner_listener = self._new_listener(self.replication.serve_fetch)
         self._ports: list[typing.Any] = []
         self._caller_port: typing.Any = None
         self._stopped: defer.Deferred[None] = defer.Deferred()
@@ -219,6 +213,11 @@
         self._log.event("started", settings=repr(settings))
         return self._stopped
 
+    def _new_listener(
+        self, handler: typing.Callable[[callers.Exchange], None]
+    ) -> front.Listener:
+        return front.Listener(self._now_ms, handler, self._log, self.capacity)
+
     def _listen(self, address: str, factory: typing.Any) -> typing.Any:
         host, _, port = address.rpartition(":")
         listening_port = self._reactor.listenTCP(
@@ -367,6 +366,13 @@
             *self.dispatcher.notice_watch.lines(self._now_ms()),
             *self.permits.lines(),
             metrics.gauge_line("caller_connections", connections),
+            metrics.gauge_line("request_bytes_held", self.capacity.held_bytes),
+            metrics.gauge_line(
+                "requests_without_room", self.capacity.refused_count
+            ),
+            metrics.gauge_line(
+                "connections_evicted", self.capacity.evicted_count
+            ),
             metrics.gauge_line("members", len(members)),
             metrics.gauge_line("log_lines_left_out", self._log.dropped_total),
             metrics.gauge_line("inner_rejected", self.peers.rejected_count),
--- a/packages/tier/src/godwitflow/tier/outbound_request.py
+++ b/packages/tier/src/godwitflow/tier/outbound_request.py
@@ -9,15 +9,16 @@
 class OutboundRequest:
     """A caller's request, serialized for sending to upstreams.
 
-    ``head`` and ``tail`` are the bytes before and after the headers that
-    differ from call to call. ``configuration_version`` is the version of
-    the configuration that ``route`` belongs to.
+    ``head`` and ``tail`` are the bytes of the head before and after the
+    headers that differ from call to call. ``configuration_version`` is the
+    version of the configuration that ``route`` belongs to.
     """
 
     request_id: bytes | None
     method: bytes
     head: bytes
     tail: bytes
+    body: bytes
     route: routing.Route
     received_at_ms: float
     deadline_at_ms: float
--- a/packages/tier/src/godwitflow/tier/settings.py
+++ b/packages/tier/src/godwitflow/tier/settings.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from godwitflow.http1 import caller_capacity
 from godwitflow.model import ids
 from godwitflow.policy import retry_budget
 
@@ -30,7 +31,8 @@
     Addresses are ``IP:PORT``. ``inner`` is for traffic between nodes;
     ``seeds`` are the inner addresses of a few members and may be stale.
     ``first_start`` is set only when the whole system starts for the
-    first time. ``cores`` is the VM's CPU capacity, in standard cores.
+    first time. ``cores`` is the VM's CPU capacity, in standard cores,
+    and ``capacity`` what callers may take of its memory and descriptors.
     """
 
     node: ids.NodeId
@@ -45,3 +47,4 @@
     first_start: bool
     bounds: Bounds
     cores: float = 1.0
+    capacity: caller_capacity.CapacityLimits = caller_capacity.CapacityLimits()
--- a/packages/tier/src/godwitflow/tier/subrequest.py
+++ b/packages/tier/src/godwitflow/tier/subrequest.py
@@ -235,6 +235,7 @@
             self.outbound.request_id,
             self.outbound.method == b"HEAD",
             functools.partial(self._on_outcome, key),
+            self.outbound.body,
         )
         self._in_flight[key] = in_flight_call
         self._tried.add(upstream.name)
