Identify customers by key and keep their quotas over the fleet

Keys are replaced by digests when the store is read; the router identifies the customer, answers 401, sets the customer's name towards upstreams and drops whatever the caller sent. A customer's priority goes before the route's. One node of each of 16 groups issues quotas from token buckets; others ask it, or spend tokens that it granted in reserve. What the bound allows beyond the quota is divided between reserves, the stand-in, handover and regular issue (policy/quotas).

--- a/packages/http1/src/godwitflow/http1/messages.py
+++ b/packages/http1/src/godwitflow/http1/messages.py
@@ -27,6 +27,7 @@
 REASON_PHRASES = {
     200: b"OK",
     400: b"Bad Request",
+    401: b"Unauthorized",
     404: b"Not Found",
     408: b"Request Timeout",
     413: b"Content Too Large",
--- a/packages/model/src/godwitflow/model/ids.py
+++ b/packages/model/src/godwitflow/model/ids.py
@@ -10,6 +10,11 @@
 ShardId = typing.NewType("ShardId", str)
 ReplicaSetId = typing.NewType("ReplicaSetId", str)
 
+CustomerName = typing.NewType("CustomerName", str)
+
+KeyDigest = typing.NewType("KeyDigest", str)
+"""The digest of a customer's key, in hexadecimal digits."""
+
 UpstreamId = typing.NewType("UpstreamId", str)
 """An upstream's base URL, such as ``http://10.0.0.7:9000``."""
 
--- a/packages/policy/src/godwitflow/policy/routing.py
+++ b/packages/policy/src/godwitflow/policy/routing.py
@@ -10,6 +10,7 @@
 import typing
 
 from godwitflow.model import ids
+from godwitflow.policy import customers as customer_keys
 
 URGENT_RANK = ids.Rank(0)
 
@@ -70,6 +71,7 @@
     ``attempts`` is the maximum number of upstreams that a request is sent
     to, per shard. ``timeout_ms`` is the maximum time until a request is
     answered or refused, ``target_ms`` the latency objective of a response.
+    Requests of a ``public`` route need no key.
     """
 
     name: str
@@ -81,6 +83,7 @@
     priority: ids.Rank
     attempts: int
     target: Target
+    public: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -104,13 +107,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Configuration:
-    """The complete configuration; ``revision`` is the store's."""
+    """The complete configuration; ``revision`` is the store's.
+
+    Without ``customers``, None, requests carry no keys; with an empty
+    tuple, no key is known.
+    """
 
     revision: int
     version: int
     routes: tuple[Route, ...]
     services: dict[ids.ServiceName, Service]
     limits: CallerLimits | None
+    customers: tuple[customer_keys.Customer, ...] | None = None
 
 
 class RouteTable:
--- a/packages/tier/src/godwitflow/tier/front.py
+++ b/packages/tier/src/godwitflow/tier/front.py
@@ -1,5 +1,6 @@
 """HTTP listeners of a node and the routing of callers' requests."""
 
+import functools
 import typing
 import weakref
 
@@ -11,18 +12,22 @@
 from godwitflow.http1 import messages
 from godwitflow.model import ids
 from godwitflow.policy import crash_history
+from godwitflow.policy import customers
 from godwitflow.policy import routing
 from godwitflow.policy import stop_plan
 from godwitflow.tier import dispatcher as dispatching
 from godwitflow.tier import gather_handler
 from godwitflow.tier import log as logs
 from godwitflow.tier import outbound_request
+from godwitflow.tier import quotas
 from godwitflow.tier import request_handler
 from godwitflow.tier import single_handler
 
 NOT_READY_RETRY_S = 0.3
 BLOCKED_RETRY_S = 30.0
 STOPPING_RETRY_S = 0.05
+MAX_CUSTOMER_LABELS = 100
+OTHER_CUSTOMERS = "other"
 MAX_CALLER_DEADLINE_MS = 3_600_000.0
 
 
@@ -97,7 +102,10 @@
         self.route_table: routing.RouteTable | None = None
         self.registrations_known = False
         self.stop_plan: stop_plan.StopPlan | None = None
+        self.quotas: quotas.Quotas | None = None
+        self._customers: customers.CustomerTable | None = None
         self._seed = seed
+        self._labels: set[ids.CustomerName] = set()
         self._handlers: weakref.WeakSet[request_handler.RequestHandler] = (
             weakref.WeakSet()
         )
@@ -107,6 +115,13 @@
     ) -> None:
         """Route later requests by a new configuration."""
         self.route_table = routing.RouteTable(configuration, self._seed)
+        self._customers = None
+        if configuration.customers is not None:
+            self._customers = customers.CustomerTable(configuration.customers)
+            if self._customers.shared_names:
+                self.log.event(
+                    "shared_keys", customers=self._customers.shared_names
+                )
 
     def handle(self, exchange: callers.Exchange) -> None:
         """Start the handler of a request, or refuse the request."""
@@ -134,8 +149,14 @@
             )
             exchange.respond(messages.text_response(404, "no such route"))
             return
+        customer = self._identify(request)
+        if isinstance(customer, customers.KeyDefect):
+            if not route.public:
+                self._reject_key(exchange, route, customer)
+                return
+            customer = None
         version = self.route_table.configuration.version
-        outbound = self._outbound_request(request, route, version)
+        outbound = self._outbound_request(request, route, version, customer)
         if not self._takes(outbound):
             self._refuse(
                 exchange, outbound, "this node is stopping", STOPPING_RETRY_S
@@ -149,6 +170,121 @@
                 BLOCKED_RETRY_S,
             )
             return
+        if customer is None or self.quotas is None:
+            self._start(exchange, outbound, self.route_table)
+            return
+        self.quotas.admit(
+            customer,
+            functools.partial(
+                self._on_admission, exchange, outbound, self.route_table
+            ),
+        )
+
+    def _identify(
+        self, request: messages.Request
+    ) -> customers.Customer | customers.KeyDefect | None:
+        """Return who asks; None if the configuration names no customers."""
+        if self._customers is None:
+            return None
+        name = self.dispatcher.header_names.credentials
+        return self._customers.identify(
+            [value for key, value in request.headers if key.lower() == name]
+        )
+
+    def _reject_key(
+        self,
+        exchange: callers.Exchange,
+        route: routing.Route,
+        defect: customers.KeyDefect,
+    ) -> None:
+        self.dispatcher.metrics.count("unauthorized", reason=defect.value)
+        self.log.limited_event(
+            "unauthorized",
+            request=_request_id_text(
+                exchange.request, self.dispatcher.header_names.request_id
+            ),
+            route=route.name,
+            reason=defect.value,
+        )
+        response = messages.text_response(401, "a known key is needed")
+        response.headers.append((b"WWW-Authenticate", b"Token"))
+        exchange.respond(response)
+
+    def _on_admission(
+        self,
+        exchange: callers.Exchange,
+        outbound: outbound_request.OutboundRequest,
+        route_table: routing.RouteTable,
+        admission: quotas.Admission,
+    ) -> None:
+        """Start a request within its customer's quota, refuse any other."""
+        self._count_admission(outbound, admission)
+        if not exchange.open:
+            return
+        match admission:
+            case quotas.Admitted():
+                self._start_safely(exchange, outbound, route_table)
+            case quotas.OverQuota(retry_after_s):
+                self._refuse(
+                    exchange,
+                    outbound,
+                    "the customer is over its quota",
+                    retry_after_s,
+                    status=429,
+                )
+            case quotas.Unverified(retry_after_s):
+                self._refuse(
+                    exchange,
+                    outbound,
+                    "the customer's quota cannot be verified",
+                    retry_after_s,
+                )
+
+    def _count_admission(
+        self,
+        outbound: outbound_request.OutboundRequest,
+        admission: quotas.Admission,
+    ) -> None:
+        assert outbound.customer is not None
+        self.dispatcher.metrics.count(
+            "customer_requests",
+            customer=self._customer_label(outbound.customer.name),
+            admission=type(admission).__name__,
+        )
+
+    def _customer_label(self, name: ids.CustomerName) -> str:
+        """Return the customer as a label, of which there are not too many."""
+        if name in self._labels or len(self._labels) < MAX_CUSTOMER_LABELS:
+            self._labels.add(name)
+            return name
+        return OTHER_CUSTOMERS
+
+    def _start_safely(
+        self,
+        exchange: callers.Exchange,
+        outbound: outbound_request.OutboundRequest,
+        route_table: routing.RouteTable,
+    ) -> None:
+        """Start a request; if that fails, answer it."""
+        try:
+            self._start(exchange, outbound, route_table)
+        except Exception as error:
+            self.log.limited_event(
+                "request_failed",
+                request=outbound.request_id_text,
+                route=outbound.route.name,
+                error=repr(error),
+            )
+            exchange.respond(messages.text_response(500, "internal error"))
+
+    def _start(
+        self,
+        exchange: callers.Exchange,
+        outbound: outbound_request.OutboundRequest,
+        route_table: routing.RouteTable,
+    ) -> None:
+        """Start the handler of a request that is admitted."""
+        route = outbound.route
         match route.target:
             case routing.Gather() as gather:
                 handler = gather_handler.GatherHandler(
@@ -157,7 +293,7 @@
                 self._handlers.add(handler)
                 handler.start(gather)
             case routing.WeightedSplit() as split:
-                service = self.route_table.choose_service(route, split)
+                service = route_table.choose_service(route, split)
                 self._start_single(exchange, outbound, service)
             case routing.Single(service):
                 self._start_single(exchange, outbound, service)
@@ -191,16 +327,18 @@
         outbound: outbound_request.OutboundRequest,
         reason: str,
         retry_after_s: float,
+        status: int = 503,
     ) -> None:
         """Refuse a request before it is sent to any upstream."""
         self.log.limited_event(
             "refused",
             request=outbound.request_id_text,
             route=outbound.route.name,
-            status=503,
+            customer=_customer_name(outbound),
+            status=status,
             reason=reason,
         )
-        exchange.respond(messages.text_response(503, reason, retry_after_s))
+        exchange.respond(messages.text_response(status, reason, retry_after_s))
 
     def _start_single(
         self,
@@ -215,19 +353,27 @@
         handler.start(service)
 
     def _outbound_request(
-        self, request: messages.Request, route: routing.Route, version: int
+        self,
+        request: messages.Request,
+        route: routing.Route,
+        version: int,
+        customer: customers.Customer | None,
     ) -> outbound_request.OutboundRequest:
         names = self.dispatcher.header_names
         deadline_ms = route.timeout_ms
         value = messages.find_header(request.headers, names.deadline)
         if value is not None:
             deadline_ms = min(deadline_ms, _parse_deadline_ms(value))
-        set_per_call = (names.deadline, names.expect_upstream)
+        replaced = {names.deadline, names.expect_upstream}
+        if self._customers is not None:
+            replaced |= {names.credentials, names.customer}
         headers = [
             header
             for header in messages.end_to_end_headers(request.headers)
-            if header[0].lower() not in set_per_call
+            if header[0].lower() not in replaced
         ]
+        if customer is not None:
+            headers.append((names.customer_out, customer.name.encode()))
         data = messages.serialize_request(
             request.method, request.target, headers, None
         )
@@ -244,9 +390,16 @@
             request.received_at_ms,
             request.received_at_ms + deadline_ms,
             version,
+            customer,
         )
 
 
+def _customer_name(
+    outbound: outbound_request.OutboundRequest,
+) -> ids.CustomerName | None:
+    return None if outbound.customer is None else outbound.customer.name
+
+
 def _request_id_text(request: messages.Request, name: bytes) -> str:
     value = messages.find_header(request.headers, name)
     return "" if value is None else value.decode("latin-1")
--- a/packages/tier/src/godwitflow/tier/headers.py
+++ b/packages/tier/src/godwitflow/tier/headers.py
@@ -17,8 +17,10 @@
     a request is for; any other rejects it. ``not_executed`` marks a
     rejection. ``part_signatures`` lists the signatures of the shards in
     a merged response, ``missing_parts`` counts the shards left out.
-    ``rate_limit`` states how many calls a second an upstream takes from
-    all nodes together. ``leaving`` says that an upstream shuts down.
+    ``credentials`` holds a customer's key, and ``customer`` its name in
+    requests to upstreams. ``rate_limit`` states how many calls a second
+    an upstream takes from all nodes together. ``leaving`` says that an
+    upstream shuts down.
     """
 
     request_id: bytes
@@ -30,8 +32,11 @@
     missing_parts: bytes
     rate_limit: bytes
     leaving: bytes
+    credentials: bytes
+    customer: bytes
     request_id_out: bytes
     deadline_out: bytes
     expect_upstream_out: bytes
     part_signatures_out: bytes
     missing_parts_out: bytes
+    customer_out: bytes
--- a/packages/tier/src/godwitflow/tier/introductions.py
+++ b/packages/tier/src/godwitflow/tier/introductions.py
@@ -52,6 +52,7 @@
         self._next_pull_ms = now_ms + START_PULL_INTERVAL_MS
         self._greeted = {membership.me.node}
         self._contacts: list[str] = []
+        self.listed_count = 0
         self._next_contact_ms = 0.0
 
     def tick(self, now_ms: float) -> None:
@@ -70,6 +71,7 @@
         the replying member's table, most of the others are known.
         """
         self._contacts = list(inner_addresses)
+        self.listed_count = len(self._contacts) + 1
         self._random.shuffle(self._contacts)
 
     def greet_new_members(self, now_ms: float) -> None:
--- a/packages/tier/src/godwitflow/tier/node.py
+++ b/packages/tier/src/godwitflow/tier/node.py
@@ -34,6 +34,7 @@
 from godwitflow.tier import metrics
 from godwitflow.tier import peer_protocol
 from godwitflow.tier import permits
+from godwitflow.tier import quotas
 from godwitflow.tier import replication
 from godwitflow.tier import self_registration
 from godwitflow.tier import settings as node_settings
@@ -140,6 +141,16 @@
             log,
         )
         self.dispatcher.permits = self.permits
+        self.quotas = quotas.Quotas(
+            reactor,
+            now_ms,
+            settings.node,
+            self.peers,
+            settings.bounds.quota,
+            log,
+            seed,
+        )
+        self.router.quotas = self.quotas
         self.directory = directory.Directory(
             self.peers, address_codec, settings.bounds.max_address_age_ms
         )
@@ -201,6 +212,7 @@
         self._start_loop(peer_protocol.TICK_S, self.health_exchange.tick)
         self._start_loop(CHECK_INTERVAL_S, self._check_timeouts)
         self._start_loop(CHECK_INTERVAL_S, self._update_load)
+        self._start_loop(CHECK_INTERVAL_S, self.quotas.tick)
         self._start_loop(TRAFFIC_LOG_INTERVAL_S, self._log_traffic)
         self._start_loop(CHECK_INTERVAL_S, self._summarize_limited_calls)
         self.dispatcher.apply_recent_start(True)
@@ -259,6 +271,7 @@
         )
         self.dispatcher.apply_retry_limits(settings.bounds.retry)
         self.dispatcher.notice_watch.drain_ms = settings.bounds.drain_ms
+        self.quotas.issuing.apply_bounds(settings.bounds.quota)
         self.directory.max_age_ms = settings.bounds.max_address_age_ms
         self._log.event(
             "reloaded",
@@ -268,6 +281,7 @@
 
     def _on_configuration(self, configuration: routing.Configuration) -> None:
         self.dispatcher.apply_configuration(configuration)
+        self.quotas.apply_customers(configuration.customers or ())
         self.router.apply_configuration(configuration)
         limits = configuration.limits
         if limits is not None:
@@ -337,8 +351,21 @@
         """Process the answers to a request for permits."""
         self.permits.on_reply(sender, message)
 
+    def on_quota_request(
+        self, sender: ids.NodeId, message: messages.QuotaRequest
+    ) -> None:
+        """Process a peer's request for tokens of customers' quotas."""
+        self.quotas.on_request(sender, message)
+
+    def on_quota_reply(
+        self, sender: ids.NodeId, message: messages.QuotaReply
+    ) -> None:
+        """Process the answers to a request for tokens."""
+        self.quotas.on_reply(sender, message)
+
     def on_members_changed(self) -> None:
-        """Update the nodes that share caps, budgets and rate limits."""
+        """Update the nodes that share caps, budgets, limits and quotas."""
+        self.quotas.on_members_changed()
         self.permits.on_members_changed()
         self.dispatcher.apply_node_count(self.peers.node_count())
 
--- a/packages/tier/src/godwitflow/tier/outbound_request.py
+++ b/packages/tier/src/godwitflow/tier/outbound_request.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+from godwitflow.model import ids
+from godwitflow.policy import customers
 from godwitflow.policy import routing
 
 
@@ -11,7 +13,8 @@
 
     ``head`` and ``tail`` are the bytes of the head before and after the
     headers that differ from call to call. ``configuration_version`` is the
-    version of the configuration that ``route`` belongs to.
+    version of the configuration that ``route`` belongs to. ``customer`` is
+    who asks, if the configuration names customers.
     """
 
     request_id: bytes | None
@@ -23,6 +26,14 @@
     received_at_ms: float
     deadline_at_ms: float
     configuration_version: int
+    customer: customers.Customer | None = None
+
+    @property
+    def priority(self) -> ids.Rank:
+        """The customer's priority, or else that of the route."""
+        if self.customer is None or self.customer.priority is None:
+            return self.route.priority
+        return self.customer.priority
 
     @property
     def request_id_text(self) -> str:
@@ -34,7 +45,7 @@
     @property
     def urgent(self) -> bool:
         """Whether the request has the most urgent priority."""
-        return self.route.priority == routing.URGENT_RANK
+        return self.priority == routing.URGENT_RANK
 
     @property
     def idempotent(self) -> bool:
--- a/packages/tier/src/godwitflow/tier/peer_protocol.py
+++ b/packages/tier/src/godwitflow/tier/peer_protocol.py
@@ -70,6 +70,18 @@
         """Process the answers to a request for permits."""
         ...
 
+    def on_quota_request(
+        self, sender: ids.NodeId, message: messages.QuotaRequest
+    ) -> None:
+        """Process a peer's request for tokens of customers' quotas."""
+        ...
+
+    def on_quota_reply(
+        self, sender: ids.NodeId, message: messages.QuotaReply
+    ) -> None:
+        """Process the answers to a request for tokens."""
+        ...
+
     def revisions(self) -> messages.Revisions:
         """Return the revisions of this node's own copies."""
         ...
@@ -188,6 +200,8 @@
                 purpose = traffic_module.Purpose.UPSTREAM_REPORTS
             case messages.PermitRequest() | messages.PermitReply():
                 purpose = traffic_module.Purpose.PERMITS
+            case messages.QuotaRequest() | messages.QuotaReply():
+                purpose = traffic_module.Purpose.QUOTAS
         return self._traffic.count_for(purpose, self.domain_of(inner_address))
 
     # Receiving ----------------------------------------------------------
@@ -270,6 +284,10 @@
                 self._handler.on_permit_request(header.sender, message)
             case messages.PermitReply():
                 self._handler.on_permit_reply(header.sender, message)
+            case messages.QuotaRequest():
+                self._handler.on_quota_request(header.sender, message)
+            case messages.QuotaReply():
+                self._handler.on_quota_reply(header.sender, message)
             case messages.MembersPush():
                 self.membership.merge(now_ms, message.updates, spread=False)
             case _:
@@ -336,6 +354,10 @@
         """Return the members that are not known to be dead, self included."""
         return self.membership.non_dead_members()
 
+    def listed_count(self) -> int:
+        """Return how many nodes the store listed; 0 if it is not known."""
+        return self.introductions.listed_count
+
     def node_count(self) -> int:
         """Return the number of nodes that share caps and budgets.
 
--- a/packages/tier/src/godwitflow/tier/settings.py
+++ b/packages/tier/src/godwitflow/tier/settings.py
@@ -4,6 +4,7 @@
 
 from godwitflow.http1 import caller_capacity
 from godwitflow.model import ids
+from godwitflow.policy import quotas
 from godwitflow.policy import retry_budget
 
 
@@ -15,13 +16,15 @@
     from a stop request to the end of the process, ``max_address_age_ms``
     the longest time for which callers may use an address response, and
     ``retry`` the limits on repeated calls. ``drain_ms`` is for how long an
-    upstream that leaves still takes calls.
+    upstream that leaves still takes calls, and ``quota`` by how much
+    customers' quotas may be exceeded.
     """
 
     stop_grace_ms: float
     max_address_age_ms: float
     retry: retry_budget.RetryLimits
     drain_ms: float = 3_000.0
+    quota: quotas.QuotaBounds = quotas.QuotaBounds()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/tier/src/godwitflow/tier/subrequest.py
+++ b/packages/tier/src/godwitflow/tier/subrequest.py
@@ -109,9 +109,7 @@
             self._finish_if_idle()
         elif not self._try_send(eligible):
             self.queued = True
-            self.dispatcher.enqueue(
-                self.service, self.outbound.route.priority, self
-            )
+            self.dispatcher.enqueue(self.service, self.outbound.priority, self)
 
     def _eligible_upstreams(self) -> list[services.Upstream]:
         """Return the untried upstreams that a call may be made to.
@@ -324,14 +322,14 @@
         return self.service.retry_budget.has_headroom(
             self.dispatcher.now_ms(),
             self.dispatcher.node_count,
-            self.outbound.route.priority,
+            self.outbound.priority,
         )
 
     def _try_acquire_budget(self) -> bool:
         return self.service.retry_budget.try_acquire(
             self.dispatcher.now_ms(),
             self.dispatcher.node_count,
-            self.outbound.route.priority,
+            self.outbound.priority,
         )
 
     # Outcomes -----------------------------------------------------------
--- a/packages/tier/src/godwitflow/tier/traffic.py
+++ b/packages/tier/src/godwitflow/tier/traffic.py
@@ -23,6 +23,7 @@
     ANNOUNCEMENTS = "announcements"
     UPSTREAM_REPORTS = "upstream_reports"
     PERMITS = "permits"
+    QUOTAS = "quotas"
 
 
 class Locality(enum.Enum):
--- a/packages/tier/tests/simulation.py
+++ b/packages/tier/tests/simulation.py
@@ -31,11 +31,14 @@
     missing_parts=b"x-missing",
     rate_limit=b"x-rate",
     leaving=b"x-leaving",
+    credentials=b"x-auth",
+    customer=b"x-customer",
     request_id_out=b"X-Id",
     deadline_out=b"X-Left",
     expect_upstream_out=b"X-Expect",
     part_signatures_out=b"X-Parts",
     missing_parts_out=b"X-Missing",
+    customer_out=b"X-Customer",
 )
 CONNECTION_CAP = 26  # of each upstream, for all nodes together
 HOST = "a.example"
--- a/packages/wire/src/godwitflow/wire/messages.py
+++ b/packages/wire/src/godwitflow/wire/messages.py
@@ -401,6 +401,45 @@
     reports: tuple[LimitReport, ...]
 
 
+class QuotaWant(msgspec.Struct, frozen=True, array_like=True):
+    """A request of a customer for which a node asks the issuer.
+
+    ``ticket`` identifies it in the answer. The sender holds ``held`` tokens
+    in reserve; unless a token is ``needed`` it only wants another one.
+    """
+
+    ticket: int
+    customer: ids.CustomerName
+    held: Count
+    needed: bool
+
+
+class QuotaRequest(msgspec.Struct, frozen=True, array_like=True, tag=24):
+    """A node asks the issuer, or the one standing in for it, for tokens."""
+
+    standby: bool
+    wants: tuple[QuotaWant, ...]
+
+
+class QuotaAnswer(msgspec.Struct, frozen=True, array_like=True):
+    """The answer for one ticket.
+
+    ``reserve`` tokens may be spent later. After a denial, the next token
+    may be had in ``wait_ms``; 0 if the node does not issue this quota.
+    """
+
+    ticket: int
+    granted: bool
+    reserve: Count
+    wait_ms: Milliseconds
+
+
+class QuotaReply(msgspec.Struct, frozen=True, array_like=True, tag=25):
+    """The answers to a request for tokens."""
+
+    answers: tuple[QuotaAnswer, ...]
+
+
 Message = (
     Scatter
     | Piece
@@ -425,4 +464,6 @@
     | PermitRequest
     | PermitReply
     | LimitReports
+    | QuotaRequest
+    | QuotaReply
 )
