Stop calls to upstreams of evacuated failure domains

The operator may ask that nothing be sent to the upstreams of a failure domain. Nothing read that entry. Where the settings name the contract, nodes follow the evacuations like the configuration, from the store or from peers, and do not serve before they know them. An upstream of such a domain takes no calls; a shard that has no other is left out at once.

--- a/packages/tier/src/godwitflow/tier/cluster_state.py
+++ b/packages/tier/src/godwitflow/tier/cluster_state.py
@@ -1,4 +1,4 @@
-"""The configuration and upstream registrations that this node uses.
+"""The configuration, registrations and evacuations that this node uses.
 
 Decodes changed objects of the store and reports the new values. An
 object that is older than the current one is ignored.
@@ -15,6 +15,8 @@
 MS_PER_S = 1_000.0
 EXPIRY_MARGIN_S = 0.05
 
+OnEvacuations = typing.Callable[[frozenset[ids.FailureDomain]], None]
+
 
 class ObjectDecoder(typing.Protocol):
     """Decodes the store's objects; states the kinds and names to read."""
@@ -22,6 +24,7 @@
     configuration_kind: str
     configuration_name: str
     registration_kind: str
+    evacuation_kind: str
 
     def decode_configuration(
         self, stored: objects.Object
@@ -42,8 +45,10 @@
 class ClusterState:
     """Holds the configuration and the registry of upstreams.
 
-    The callbacks receive each new configuration, and the upstreams that
-    are ready whenever registrations change.
+    The callbacks receive each new configuration, the upstreams that are
+    ready whenever registrations change, and the failure domains whose
+    upstreams are to get no calls whenever evacuations change. Without
+    ``on_evacuations``, evacuations are not read.
     """
 
     def __init__(
@@ -56,6 +61,7 @@
         on_registrations: typing.Callable[
             [list[registrations.Registration]], None
         ],
+        on_evacuations: OnEvacuations | None = None,
     ) -> None:
         self.configuration: routing.Configuration | None = None
         self.registry = registrations.Registry()
@@ -65,12 +71,17 @@
         self._log = log
         self._on_configuration = on_configuration
         self._on_registrations = on_registrations
+        self._on_evacuations = on_evacuations
+        self._evacuated: set[ids.FailureDomain] = set()
 
     @property
-    def kinds(self) -> tuple[str, str]:
+    def kinds(self) -> tuple[str, ...]:
         """The kinds of objects that this node reads."""
         decoder = self._decoder
-        return decoder.configuration_kind, decoder.registration_kind
+        kinds = (decoder.configuration_kind, decoder.registration_kind)
+        if self._on_evacuations is None:
+            return kinds
+        return (*kinds, decoder.evacuation_kind)
 
     def on_changes(
         self, kind: str, changes: list[objects.Change], after_outage: bool
@@ -85,6 +96,8 @@
             for change in changes:
                 if not change.removed:
                     self._apply_configuration(change.object)
+        elif kind == self._decoder.evacuation_kind:
+            self._apply_evacuations(changes)
         else:
             self._apply_registrations(changes, after_outage)
 
@@ -113,6 +126,22 @@
         )
         self._on_configuration(configuration)
 
+    def _apply_evacuations(self, changes: list[objects.Change]) -> None:
+        """Apply evacuations; the name of each is the failure domain."""
+        for change in changes:
+            domain = ids.FailureDomain(change.object.name)
+            self._log.event(
+                "evacuation_ended" if change.removed else "evacuation",
+                failure_domain=domain,
+                revision=change.object.revision,
+            )
+            if change.removed:
+                self._evacuated.discard(domain)
+            else:
+                self._evacuated.add(domain)
+        if self._on_evacuations is not None:
+            self._on_evacuations(frozenset(self._evacuated))
+
     def _apply_registrations(
         self, changes: list[objects.Change], after_outage: bool
     ) -> None:
--- a/packages/tier/src/godwitflow/tier/dispatcher.py
+++ b/packages/tier/src/godwitflow/tier/dispatcher.py
@@ -79,6 +79,7 @@
         )
         self.latencies = latency_estimates.LatencyEstimates()
         self._failure_domain = failure_domain
+        self._evacuated: frozenset[ids.FailureDomain] = frozenset()
         self._traffic = traffic
         self._receive_memory = receive_memory.ReceiveMemory()
         self._retry_limits = retry_limits
@@ -149,6 +150,16 @@
         for service in self._services.values():
             service.dispatch_queue()
 
+    def apply_evacuations(self, domains: frozenset[ids.FailureDomain]) -> None:
+        """Stop calls to the upstreams of some failure domains."""
+        self._evacuated = domains
+        for upstream in self._upstreams.values():
+            upstream.evacuated = (
+                upstream.registration.failure_domain in domains
+            )
+        for service in self._services.values():
+            service.dispatch_queue()
+
     def _remove_upstream(
         self, name: ids.UpstreamId, upstream: services.Upstream
     ) -> None:
@@ -181,6 +192,7 @@
             connection_pool,
             replica_choice.ReplicaHealth(decayed_at_ms=self.now_ms()),
             entry.failure_domain != self._failure_domain,
+            evacuated=entry.failure_domain in self._evacuated,
             notices=self.notice_watch.notices_of(entry),
         )
         self._upstreams[entry.upstream] = upstream
--- a/packages/tier/src/godwitflow/tier/node.py
+++ b/packages/tier/src/godwitflow/tier/node.py
@@ -106,7 +106,10 @@
             log,
             self._on_configuration,
             self._on_registrations,
+            self._on_evacuations if settings.evacuations else None,
         )
+        self._evacuations_known = not settings.evacuations
+        self._registrations_known = False
         me = messages.MemberUpdate(
             settings.node,
             settings.failure_domain,
@@ -297,7 +300,18 @@
         self, ready: list[registrations.Registration]
     ) -> None:
         self.dispatcher.apply_registrations(ready, self._now_ms())
-        self.router.registrations_known = True
+        self._registrations_known = True
+        self._check_upstreams_known()
+
+    def _on_evacuations(self, domains: frozenset[ids.FailureDomain]) -> None:
+        self.dispatcher.apply_evacuations(domains)
+        self._evacuations_known = True
+        self._check_upstreams_known()
+
+    def _check_upstreams_known(self) -> None:
+        """Serve once it is known which upstreams may be called."""
+        if self._registrations_known and self._evacuations_known:
+            self.router.registrations_known = True
         self._check_ready()
 
     def _check_ready(self) -> None:
--- a/packages/tier/src/godwitflow/tier/services.py
+++ b/packages/tier/src/godwitflow/tier/services.py
@@ -20,7 +20,8 @@
     """An upstream that calls may be sent to.
 
     ``other_domain`` is set if it is in another failure domain than this
-    node. ``misdirected`` is set once it has answered 421 (Misdirected
+    node, ``evacuated`` while the operator wants no calls to its failure
+    domain. ``misdirected`` is set once it has answered 421 (Misdirected
     Request). ``notices`` is what it has said of itself. ``call_starts``
     holds the start times of calls in flight, oldest first. A permit for a
     call was denied until ``denied_until_ms``, and for an urgent call until
@@ -32,6 +33,7 @@
     health: replica_choice.ReplicaHealth
     other_domain: bool
     misdirected: bool = False
+    evacuated: bool = False
     notices: upstream_notices.Notices = dataclasses.field(
         default_factory=upstream_notices.Notices
     )
@@ -54,7 +56,7 @@
 
     def usage(self, now_ms: float) -> upstream_notices.Usage:
         """Return what the upstream may be used for."""
-        if self.misdirected:
+        if self.misdirected or self.evacuated:
             return upstream_notices.Usage.NONE
         return self.notices.usage(now_ms)
 
--- a/packages/tier/src/godwitflow/tier/settings.py
+++ b/packages/tier/src/godwitflow/tier/settings.py
@@ -36,6 +36,7 @@
     ``first_start`` is set only when the whole system starts for the
     first time. ``cores`` is the VM's CPU capacity, in standard cores,
     and ``capacity`` what callers may take of its memory and descriptors.
+    ``evacuations`` says that the operator may evacuate failure domains.
     """
 
     node: ids.NodeId
@@ -50,4 +51,5 @@
     first_start: bool
     bounds: Bounds
     cores: float = 1.0
+    evacuations: bool = False
     capacity: caller_capacity.CapacityLimits = caller_capacity.CapacityLimits()
--- a/packages/tier/tests/node_fixture.py
+++ b/packages/tier/tests/node_fixture.py
@@ -24,6 +24,7 @@
     configuration_kind = "configurations"
     configuration_name = "main"
     registration_kind = "upstreams"
+    evacuation_kind = "evacuations"
 
     def decode_configuration(self, stored):
         if stored.spec is None:
@@ -117,7 +118,7 @@
     for metrics, 5 for other nodes.
     """
 
-    def __init__(self):
+    def __init__(self, **fields):
         self.upstream = simulated_upstreams.Upstream(
             "u1", "one", "10.0.1.1:80"
         )
@@ -141,6 +142,7 @@
                 5_000.0,
                 retry_budget.RetryLimits(0.2, 58.0, 10_000.0),
             ),
+            **fields,
         )
         self.log.dropped_total = 0
         self.node = nodes.Node(
@@ -184,9 +186,12 @@
         return connection.transport.value()
 
 
-def serving_node():
-    """Return the fixture of a node that serves requests."""
-    fixture = NodeFixture()
+def serving_node(**fields):
+    """Return the fixture of a node that serves requests.
+
+    ``fields`` are those of its settings.
+    """
+    fixture = NodeFixture(**fields)
     fixture.fill_store()
     fixture.advance(500.0)
     return fixture
