Queue waiting calls fairly by customer

One customer at many times its usual kept the calls of all others waiting behind its own at the queue of an overloaded service, which went by arrival within a rank. The queue is a start-time fair queue by customer now (policy/fair_queue); without customers the order is as before. Calls that are cancelled leave the queue at once; until now they held their request, body included, until their turn came.

--- a/packages/tier/src/godwitflow/tier/dispatcher.py
+++ b/packages/tier/src/godwitflow/tier/dispatcher.py
@@ -6,8 +6,6 @@
 """
 
 import functools
-import heapq
-import itertools
 import random
 import typing
 
@@ -85,7 +83,6 @@
         self._retry_limits = retry_limits
         self._services: dict[ids.ServiceName, services.Service] = {}
         self._upstreams: dict[ids.UpstreamId, services.Upstream] = {}
-        self._queue_sequence = itertools.count()
 
     # Configuration and registrations ------------------------------------
 
@@ -287,13 +284,14 @@
         service: services.Service,
         rank: ids.Rank,
         call: services.QueuedCall,
+        customer: ids.CustomerName | None = None,
     ) -> None:
         """Queue a call until an upstream has capacity.
 
-        The queue is ordered by rank, most urgent first, then by arrival.
+        The queue is ordered by rank, most urgent first, and within a rank
+        fairly by customer.
         """
-        entry = (int(rank), next(self._queue_sequence), call)
-        heapq.heappush(service.queue, entry)
+        service.queue.push(call, int(rank), customer)
 
     def next_call_key(self) -> int:
         """Count a starting call and return a unique key for it."""
--- a/packages/tier/src/godwitflow/tier/front.py
+++ b/packages/tier/src/godwitflow/tier/front.py
@@ -334,7 +334,7 @@
             "refused",
             request=outbound.request_id_text,
             route=outbound.route.name,
-            customer=_customer_name(outbound),
+            customer=outbound.customer_name,
             status=status,
             reason=reason,
         )
@@ -394,12 +394,6 @@
         )
 
 
-def _customer_name(
-    outbound: outbound_request.OutboundRequest,
-) -> ids.CustomerName | None:
-    return None if outbound.customer is None else outbound.customer.name
-
-
 def _request_id_text(request: messages.Request, name: bytes) -> str:
     value = messages.find_header(request.headers, name)
     return "" if value is None else value.decode("latin-1")
--- a/packages/tier/src/godwitflow/tier/outbound_request.py
+++ b/packages/tier/src/godwitflow/tier/outbound_request.py
@@ -35,6 +35,11 @@
             return self.route.priority
         return self.customer.priority
 
+    @property
+    def customer_name(self) -> ids.CustomerName | None:
+        """The name of the customer, if there is one."""
+        return None if self.customer is None else self.customer.name
+
     @property
     def request_id_text(self) -> str:
         """The request id for logs; empty if there is none."""
--- a/packages/tier/src/godwitflow/tier/quotas.py
+++ b/packages/tier/src/godwitflow/tier/quotas.py
@@ -172,25 +172,39 @@
         )
 
     def _send_requests(self) -> None:
+        """Send what was asked for in this turn of the event loop.
+
+        The timeouts are set first: a request must get an answer even if
+        its issuer fails.
+        """
         unsent, self._unsent = self._unsent, {}
-        for (issuer, role), wants in unsent.items():
-            if issuer == self._node:
-                for want in wants:
-                    answer = self.issuing.decide(self._node, want, role)
-                    self._on_answer(answer, issuer)
-                continue
-            standby = role is permits.Role.STANDBY
-            for start in range(0, len(wants), WANTS_PER_DATAGRAM):
-                chunk = tuple(wants[start : start + WANTS_PER_DATAGRAM])
-                self._members.send_to(
-                    [issuer], messages.QuotaRequest(standby, chunk)
-                )
+        for (issuer, _), wants in unsent.items():
             self._reactor.callLater(
                 REPLY_TIMEOUT_MS / MS_PER_S,
                 self._on_timeout,
                 issuer,
                 [want.ticket for want in wants],
             )
+        for (issuer, role), wants in unsent.items():
+            if issuer == self._node:
+                for want in wants:
+                    answer = self.issuing.decide(self._node, want, role)
+                    self._on_answer(answer, issuer)
+            else:
+                self._send_to_issuer(issuer, role, wants)
+
+    def _send_to_issuer(
+        self,
+        issuer: ids.NodeId,
+        role: permits.Role,
+        wants: list[messages.QuotaWant],
+    ) -> None:
+        standby = role is permits.Role.STANDBY
+        for start in range(0, len(wants), WANTS_PER_DATAGRAM):
+            chunk = tuple(wants[start : start + WANTS_PER_DATAGRAM])
+            self._members.send_to(
+                [issuer], messages.QuotaRequest(standby, chunk)
+            )
 
     def _on_timeout(self, issuer: ids.NodeId, tickets: list[int]) -> None:
         unanswered = [
--- a/packages/tier/src/godwitflow/tier/services.py
+++ b/packages/tier/src/godwitflow/tier/services.py
@@ -1,10 +1,10 @@
 """This node's state of each service and of each of its upstreams."""
 
 import dataclasses
-import heapq
 import typing
 
 from godwitflow.model import ids
+from godwitflow.policy import fair_queue
 from godwitflow.policy import rate_limits
 from godwitflow.policy import registrations
 from godwitflow.policy import replica_choice
@@ -123,7 +123,7 @@
         self.connection_cap = DEFAULT_CONNECTION_CAP
         self.upstreams: list[Upstream] = []
         self.retry_budget = retry_budget.RetryBudget(retry_limits)
-        self.queue: list[tuple[int, int, QueuedCall]] = []
+        self.queue: fair_queue.FairQueue[QueuedCall] = fair_queue.FairQueue()
         self._dispatching = False
         self._on_error = on_error
 
@@ -175,10 +175,9 @@
         if self._dispatching:
             return
         self._dispatching = True
-        while self.queue:
-            entry = heapq.heappop(self.queue)
-            if not self._resume(entry[2]):
-                heapq.heappush(self.queue, entry)
+        while (entry := self.queue.pop()) is not None:
+            if entry.item is not None and not self._resume(entry.item):
+                self.queue.restore(entry)
                 break
         self._dispatching = False
 
--- a/packages/tier/src/godwitflow/tier/subrequest.py
+++ b/packages/tier/src/godwitflow/tier/subrequest.py
@@ -109,7 +109,12 @@
             self._finish_if_idle()
         elif not self._try_send(eligible):
             self.queued = True
-            self.dispatcher.enqueue(self.service, self.outbound.priority, self)
+            self.dispatcher.enqueue(
+                self.service,
+                self.outbound.priority,
+                self,
+                self.outbound.customer_name,
+            )
 
     def _eligible_upstreams(self) -> list[services.Upstream]:
         """Return the untried upstreams that a call may be made to.
@@ -439,7 +444,7 @@
 
     def _finish(self, result: results.Result) -> None:
         self.result = result
-        self.queued = False
+        self._leave_queue()
         if self._in_flight:
             self._detach_calls()
         self._on_result(self, result)
@@ -454,16 +459,21 @@
         """
         if self.result is None:
             self.result = results.NoResponse(self._reason, self.may_have_run)
-            self.queued = False
+            self._leave_queue()
         self._detach_calls()
 
     def cancel(self) -> None:
         """End without a result and cancel the calls in flight."""
         if self.result is None:
             self.result = results.NoResponse(self._reason, self.may_have_run)
-            self.queued = False
+            self._leave_queue()
         self._cancel_calls()
 
+    def _leave_queue(self) -> None:
+        if self.queued:
+            self.queued = False
+            self.service.queue.remove(self)
+
     def _detach_calls(self) -> None:
         if not self._in_flight or self._detached:
             return
--- a/packages/tier/tests/simulated_upstreams.py
+++ b/packages/tier/tests/simulated_upstreams.py
@@ -41,10 +41,10 @@
 
     ``executions`` holds the requests that it executed; ``rejected`` and
     ``cancelled`` count requests. ``arrived_at_ms`` holds the times at
-    which requests arrived. ``rate_limits`` are the values of the header
-    that states a rate limit, ``leaving`` those of the one that says that
-    it shuts down; ``retry_after`` is sent with each 503. ``transports``
-    holds all connections, also the closed ones.
+    which requests arrived, ``requests`` their bytes. ``rate_limits`` are
+    the values of the header that states a rate limit, ``leaving`` those of
+    the one that says that it shuts down; ``retry_after`` is sent with each
+    503. ``transports`` holds all connections, also the closed ones.
     """
 
     name: str
@@ -61,6 +61,7 @@
     leaving: tuple = ()
     retry_after: tuple = ()
     started_at_ms: int = 1
+    requests: list = dataclasses.field(default_factory=list)
     transports: list = dataclasses.field(default_factory=list)
     slots: int = 0
     slots_free_at_ms: list = dataclasses.field(default_factory=list)
@@ -121,6 +122,7 @@
         upstream = self.upstream
         now_ms = self.reactor.seconds() * 1_000.0
         upstream.arrived_at_ms.append(now_ms)
+        upstream.requests.append(data)
         request = parse_request(data)
         wait_s = upstream.wait_ms(now_ms) / 1_000.0
         match upstream.mode:
--- a/packages/tier/tests/simulation.py
+++ b/packages/tier/tests/simulation.py
@@ -62,6 +62,9 @@
     def live_nodes(self):
         return [node for node in self.reactor.nodes if node not in self.dead]
 
+    def listed_count(self):
+        return len(self.reactor.nodes)
+
     def node_count(self):
         return len(self.reactor.nodes)
 
@@ -243,9 +246,11 @@
         method=b"GET",
         body=None,
         first_on_connection=False,
+        headers=(),
     ):
         """Send a request; return its caller and its exchange."""
         headers = [
+            *headers,
             (b"Host", HOST.encode()),
             (
                 b"X-Id",
