Treat a status that the protocol does not have as malformed

An upstream in trouble sent a status line such as 000, 600 or 999. 600 and 999 reached the caller as an answer; after 000, 099 and 101 the connection waited for another response until the request timed out.

The range is checked in one place, for every call: the call fails at once as malformed, and the connection is closed. StatusTest failed before.

--- a/packages/http1/src/godwitflow/http1/upstreams.py
+++ b/packages/http1/src/godwitflow/http1/upstreams.py
@@ -7,6 +7,8 @@
 connection, after the response to the current request if there is one. A
 connection in an uncertain state is closed rather than reused.
 
+A response with a status that the protocol does not have is malformed.
+
 A response whose head or body does not end is dropped at a size limit, and
 one that is mostly framing, such as chunks of two bytes, at a lower one.
 """
@@ -34,12 +36,30 @@
 DEFAULT_KEEP_ALIVE_MS = 500.0
 MAX_KEEP_ALIVE_DIGITS = 9
 LARGE_REQUEST_BYTES = 32_768  # connections that sent more are not reused
+MIN_STATUS = 100
+MAX_STATUS = 599
+SWITCHING = 101
 BODY_SLICE_BYTES = 16_384
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
 MS_PER_S = 1_000.0
 
 
+class InvalidStatusError(Exception):
+    """The status of a response is none of the protocol."""
+
+
+def is_status(status: int) -> bool:
+    """Return whether a number may be the status of a response.
+
+    101 (Switching Protocols) is none, as no request asks for it.
+
+    >>> is_status(200), is_status(0), is_status(600), is_status(101)
+    (True, False, False, False)
+    """
+    return MIN_STATUS <= status <= MAX_STATUS and status != SWITCHING
+
+
 class FailureReason(enum.Enum):
     """Why a call got no response; the values are logged."""
 
@@ -359,6 +379,8 @@
         """Record whether the body is delimited by a length or chunks."""
         self._headers_complete = True
         self._status = self._parser.get_status_code()
+        if not is_status(self._status):
+            raise InvalidStatusError(self._status)
         for name, _ in self._headers:
             if name.lower() in (b"content-length", b"transfer-encoding"):
                 self._framed = True
--- a/packages/http1/tests/test_upstreams.py
+++ b/packages/http1/tests/test_upstreams.py
@@ -263,6 +263,51 @@
         self.assertFalse(pending.connection.usable(2_700.0))
 
 
+class StatusTest(unittest.TestCase):
+    """Guards against status lines that are none, passed on as answers."""
+
+    def outcome(self, status):
+        pending = PendingCall()
+        pending.connection.dataReceived(
+            b"HTTP/1.1 %b Odd\r\nRequest-Id: 1\r\nContent-Length: 2\r\n\r\nok"
+            % status
+        )
+        return pending
+
+    def test_status_that_is_none_fails_the_call_at_once(self):
+        for status in (
+            b"000",
+            b"099",
+            b"600",
+            b"999",
+            b"1000",
+            b"-20",
+            b"20x",
+            b"2 0",
+            b"20",
+            b"0200",
+            b"+200",
+            b"",
+            b"101",
+        ):
+            pending = self.outcome(status)
+            self.assertEqual(
+                [
+                    upstreams.Failed(
+                        upstreams.FailureReason.MALFORMED, request_sent=True
+                    )
+                ],
+                pending.outcomes,
+                status,
+            )
+            self.assertTrue(pending.connection.closed, status)
+
+    def test_every_status_of_the_protocol_is_an_answer(self):
+        for status in (200, 299, 300, 404, 429, 500, 503, 599):
+            pending = self.outcome(b"%d" % status)
+            self.assertEqual(status, pending.outcomes[0].response.status)
+
+
 class LargeBodyTest(unittest.TestCase):
     def test_large_body_is_not_copied_for_each_upstream_at_once(self):
         body = bytes(range(256)) * 400
