Let requests wait while their caller reads no answers

A caller that sends many requests at once and reads nothing had all its answers kept in the transport. Now the next request is handled only when at most 16 kB of the answers wait; what waits counts with the requests, and such a caller is the first to be disconnected when there is no room. The objects that hold a request are counted, too.

--- a/packages/http1/src/godwitflow/http1/callers.py
+++ b/packages/http1/src/godwitflow/http1/callers.py
@@ -24,6 +24,7 @@
 MAX_QUEUED_REQUESTS = 8
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 NO_ROOM_RETRY_S = 1.0
+MAX_UNSENT_BYTES = 16_384  # beyond it the next request has to wait
 
 
 class State(enum.Enum):
@@ -120,6 +121,8 @@
         self.state_since_ms = server.now_ms()
         self.held_bytes = 0
         self._request_bytes: list[int] = []  # of complete requests
+        self._unsent_bytes = 0
+        self._written_bytes = 0
         self._parser: typing.Any = httptools.HttpRequestParser(self)
         self._queue: list[messages.Request] = []
         self._first_request = True
@@ -144,6 +147,8 @@
         """Register the connection with the server."""
         self.server.connections.add(self)
         self.transport.setTcpNoDelay(True)
+        self.transport.bufferSize = MAX_UNSENT_BYTES
+        self.transport.registerProducer(self, True)
         self.server.capacity.add(self)
 
     def connectionLost(  # noqa: N802
@@ -210,14 +215,19 @@
             )
         elif self._in_message:
             incomplete = max(self._header_bytes, self._header_memory_bytes)
-        capacity.hold(self, sum(self._request_bytes) + incomplete)
-        capacity.on_received(self, bool(incomplete))
+        complete = sum(self._request_bytes) + self._unsent_bytes
+        capacity.hold(self, complete + incomplete)
+        capacity.on_received(self, bool(incomplete or self._unsent_bytes))
 
     def refuse_incomplete(self) -> None:
         """Refuse the request that is being received, after those before it.
 
-        The caller may try again: nothing of the request has been run.
+        The caller may try again: nothing of the request has been run. One
+        that does not read its answers is disconnected instead.
         """
+        if self._unsent_bytes:
+            self.evict()
+            return
         self._error_response = messages.text_response(
             503, "no room for the request", NO_ROOM_RETRY_S
         )
@@ -227,11 +237,26 @@
 
     def eviction_rank(self) -> tuple[int, float] | None:
         """Return the order in which to close it, None while it serves."""
+        if self._unsent_bytes:
+            return 0, self.state_since_ms
         if self._exchange is not None or self._queue:
             return None
         order = (State.CLOSING, State.READING, State.IDLE)
         return order.index(self.state), self.state_since_ms
 
+    def pauseProducing(self) -> None:  # noqa: N802
+        """Handle no further request until the caller has read more."""
+        self._unsent_bytes = max(1, self._written_bytes)
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Go on, as the caller has read what was written."""
+        self._unsent_bytes = 0
+        self._update_capacity()
+        self._handle_next()
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """Do nothing: the end of the connection is reported besides."""
+
     def evict(self) -> None:
         """Close the connection at once, as there are too many."""
         self.state = State.CLOSING
@@ -314,7 +339,9 @@
         )
         self._first_request = False
         self._request_bytes.append(
-            self._header_memory_bytes + self._body_bytes
+            caller_capacity.REQUEST_OVERHEAD_BYTES
+            + self._header_memory_bytes
+            + self._body_bytes
         )
         self._reset_message()
         capacity = self.server.capacity
@@ -336,6 +363,8 @@
     def _handle_next(self) -> None:
         if self._exchange is not None or self.state is State.CLOSING:
             return
+        if self._unsent_bytes:
+            return
         if self._queue:
             if self._has_caller_disconnected():
                 self.state = State.CLOSING
@@ -369,18 +398,18 @@
     ) -> None:
         """Write the response to the current request."""
         self._exchange = None
-        answered_bytes = self._request_bytes.pop(0)
-        self.server.capacity.hold(self, self.held_bytes - answered_bytes)
+        self._request_bytes.pop(0)
         close = self.server.closing or not request.keep_alive
         head_only = request.method == b"HEAD"
-        self.transport.write(
-            messages.serialize_response(response, close, head_only)
-        )
+        data = messages.serialize_response(response, close, head_only)
+        self._written_bytes = len(data)
+        self.transport.write(data)
         if close:
             self.start_lingering_close()
             return
         self.state = State.READING if self._in_message else State.IDLE
         self.state_since_ms = self.server.now_ms()
+        self._update_capacity()
         if len(self._queue) < MAX_QUEUED_REQUESTS:
             self.transport.resumeProducing()
         self._handle_next()
--- a/packages/http1/tests/test_callers.py
+++ b/packages/http1/tests/test_callers.py
@@ -324,3 +324,25 @@
         head = b"GET /x HTTP/1.1\r\n" + b"a:b\r\n" * 3_000
         connection = self.send(head)
         self.assertIn(b" 503 ", connection.transport.written)
+
+    def test_requests_wait_while_the_caller_reads_no_answers(self):
+        connection = self.send(GET * 3)
+        connection.pauseProducing()
+        self.server.exchanges[0].respond(messages.text_response(200, "ok"))
+        self.assertEqual(1, len(self.server.exchanges))
+        connection.resumeProducing()
+        self.assertEqual(2, len(self.server.exchanges))
+
+    def test_caller_that_reads_no_answers_gives_way(self):
+        unread = self.send(GET * 2)
+        self.server.exchanges[0].respond(
+            messages.text_response(200, "x" * 9_000)
+        )
+        unread.pauseProducing()
+        unread.dataReceived(GET)
+        self.assertGreater(unread.held_bytes, 9_000)
+        self.send(
+            b"POST /x HTTP/1.1\r\nContent-Length: 15000\r\n\r\n"
+            + b"x" * 14_000
+        )
+        self.assertTrue(unread.transport.aborted)
--- a/packages/soak/src/godwitflow/soak/crowd.py
+++ b/packages/soak/src/godwitflow/soak/crowd.py
@@ -36,18 +36,25 @@
 SMALL_CHUNKS_BODY_BYTES = 131_072
 COMPLETE_EVERY = 4  # one client of this many sends its request whole
 REQUEST_TIMEOUT_MS = 600_000  # no client of the crowd is late
+PIPELINED_REQUESTS = 30
+PIPELINED_HEADER_BYTES = 8_192
 POLL_S = 0.1
+MAX_POLLS = 100  # clients whose node stops reading do not settle
 
 app = cyclopts.App(help_format="markdown")
 
 
 class Form(enum.Enum):
-    """How the clients send their bodies."""
+    """How the clients send their requests.
+
+    ``UNREAD`` clients send many whole requests at once and read no answer.
+    """
 
     WHOLE = "whole"
     PIECES = "pieces"
     LARGE_CHUNKS = "large-chunks"
     SMALL_CHUNKS = "small-chunks"
+    UNREAD = "unread"
 
 
 @dataclasses.dataclass(slots=True)
@@ -68,6 +75,8 @@
 
 def request_pieces(form: Form, number: int) -> list[bytes]:
     """Return what one client sends, split into writes."""
+    if form is Form.UNREAD:
+        return [_unread_request(number)] * PIPELINED_REQUESTS
     chunked = form in (Form.LARGE_CHUNKS, Form.SMALL_CHUNKS)
     framing = "Transfer-Encoding: chunked"
     if not chunked:
@@ -87,13 +96,21 @@
     return [head + body]
 
 
+def _unread_request(number: int) -> bytes:
+    padding = "x" * PIPELINED_HEADER_BYTES
+    return (
+        f"GET /one/{number} HTTP/1.1\r\nHost: {fixtures.HOST}\r\n"
+        f"Request-Id: crowd-{number}\r\nPadding: {padding}\r\n\r\n"
+    ).encode()
+
+
 def _body(form: Form) -> bytes:
     match form:
         case Form.LARGE_CHUNKS:
             return _chunks(BODY_BYTES, LARGE_CHUNK_BYTES)
         case Form.SMALL_CHUNKS:
             return _chunks(SMALL_CHUNKS_BODY_BYTES, SMALL_CHUNK_BYTES)
-        case Form.WHOLE | Form.PIECES:
+        case Form.WHOLE | Form.PIECES | Form.UNREAD:
             return b"x" * BODY_BYTES
 
 
@@ -110,13 +127,16 @@
     connection has ended.
     """
 
-    def __init__(self, pieces: list[bytes]) -> None:
+    def __init__(self, pieces: list[bytes], reads: bool) -> None:
         self.settled = False
+        self._reads = reads
         self._pieces = list(reversed(pieces))
 
     def connectionMade(self) -> None:  # noqa: N802
         """Start to send."""
         transport: typing.Any = self.transport
+        if not self._reads:
+            transport.pauseProducing()
         transport.registerProducer(self, False)
 
     def resumeProducing(self) -> None:  # noqa: N802
@@ -212,12 +232,17 @@
         endpoints = self._node.endpoints
         crowd = []
         for number in range(CLIENTS):
-            client = Client(request_pieces(self._form, number))
+            client = Client(
+                request_pieces(self._form, number),
+                self._form is not Form.UNREAD,
+            )
             crowd.append(client)
             self._reactor.connectTCP(
                 endpoints.host, endpoints.front_port, _ClientFactory(client)
             )
-        while not all(client.settled for client in crowd):
+        for _ in range(MAX_POLLS):
+            if all(client.settled for client in crowd):
+                break
             await task.deferLater(self._reactor, POLL_S)
 
 
@@ -228,8 +253,8 @@
     Parameters
     ----------
     form
-        How the clients send their bodies: whole, pieces, large-chunks or
-        small-chunks.
+        How the clients send their requests: whole, pieces, large-chunks,
+        small-chunks or unread.
     """
     from twisted.internet import reactor  # noqa: PLC0415
 
--- a/packages/soak/tests/test_crowd.py
+++ b/packages/soak/tests/test_crowd.py
@@ -38,3 +38,6 @@
 
     def test_bodies_in_very_small_chunks(self):
         self.assert_borne(crowd.Form.SMALL_CHUNKS)
+
+    def test_whole_requests_whose_answers_are_not_read(self):
+        self.assert_borne(crowd.Form.UNREAD)
