Issue more of a quota right after a restart of the fleet

For 2 s, until the store's list was read, issuers gave out a part of the spare only. It is 0.7 s now, as members know each other by then, and a bucket starts with more of the spare (0.15 for 0.10; 0.30 for 0.35 is issued with the quota). test_fleet_quotas holds as before.

--- a/packages/policy/src/godwitflow/policy/quotas.py
+++ b/packages/policy/src/godwitflow/policy/quotas.py
@@ -25,11 +25,11 @@
 
 GROUP_COUNT = 16  # groups of customers, each with one issuer
 FIRST_GROUP = 1_000  # groups of services have lower numbers
-ISSUED_PART = 0.35  # of the spare requests
+ISSUED_PART = 0.3  # of the spare requests
 RESERVE_PART = 0.2
 STANDBY_PART = 0.1
 TAKEOVER_PART = 0.2
-START_PART = 0.1
+START_PART = 0.15
 # Nodes notice a split within this time of each other.
 TAKEOVER_MS = 1_500.0
 RESERVE_LIFETIME_MS = 10_000.0
--- a/packages/tier/src/godwitflow/tier/quota_issuing.py
+++ b/packages/tier/src/godwitflow/tier/quota_issuing.py
@@ -12,8 +12,8 @@
 
 # A node that has just started knows few of its peers at first.
 START_MS = 10_000.0
-UNLISTED_START_MS = 2_000.0
-LONE_START_MS = 500.0
+UNLISTED_START_MS = 700.0
+LONE_START_MS = 300.0
 PAUSE_MS = 1_000.0
 MAX_LOGGED = 10
 
