Send calls by their expected work and the work left at upstreams

The cost of a replica was the median of the call's own route times the number of calls in flight, so light calls could not tell costly ones ahead of them from light ones, and costly requests made replicas look slow. Now a call's work is predicted from its target, customer and size, replicas are compared by the work they have left and by the load that they report, and late calls are judged by their own expectation (docs/design).

RequestRouter moves out of front.py, and what concerns customers into customer_gate.py.

--- a/packages/policy/src/godwitflow/policy/replica_choice.py
+++ b/packages/policy/src/godwitflow/policy/replica_choice.py
@@ -2,7 +2,8 @@
 
 Moves load away from replicas that are slow, paused, failing, rejecting,
 cold or unresponsive. The cost of a replica is the expected time of a
-call. A replica is drawn at random with a probability inversely
+call: its own work and that of the calls ahead of it, at the pace of the
+replica. A replica is drawn at random with a probability inversely
 proportional to the square of its cost, so that nodes with the same view
 do not all choose the same replica, and an expensive one still gets a call
 occasionally.
@@ -19,6 +20,7 @@
 
 from godwitflow.model import ids
 from godwitflow.policy import observations
+from godwitflow.policy import reported_load
 
 LATENCY_GAIN = 0.2
 LATENCY_RATIO_MAX = 8.0
@@ -36,7 +38,9 @@
 DEGRADED_FAILURE_SHARE = 0.15
 STEADY_MIN_CALLS = 2
 STEADY_SLOTS_SHARE = 0.5
-STEADY_CALL_MEDIANS = 2.0
+STEADY_CALL_WORKS = 2.0
+OVERDUE_WORKS = 3.0
+MIN_LEFT_SHARE = 0.2
 ROOM_LATENCY_SHARE = 0.4
 EJECT_AFTER = 3
 EJECT_MS = 500.0
@@ -45,14 +49,29 @@
 TRIAL_INTERVAL_MAX_MS = 1_000.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallInFlight:
+    """When a call was started, and the work that is expected of it."""
+
+    at_ms: float
+    work_ms: float
+
+    def work_left_ms(self, now_ms: float) -> float:
+        """Return the work that is left; a late call has some left, too."""
+        left_ms = self.work_ms - (now_ms - self.at_ms)
+        return max(MIN_LEFT_SHARE * self.work_ms, left_ms)
+
+
 @dataclasses.dataclass(slots=True)
 class ReplicaHealth:
     """The health of one upstream as observed by this node.
 
     ``latency_ratio`` is its latency relative to the median of the route's
-    calls, ``median_ms``: 1.0 is normal. ``failure_share`` is the share of
-    calls that failed or were rejected. Both decay towards the values of a
-    healthy upstream while there are no new observations.
+    calls, or to the expected work of a call: 1.0 is normal.
+    ``failure_share`` is the share of calls that failed or were rejected.
+    Both decay towards the values of a healthy upstream while there are no
+    new observations. ``calls`` are this node's calls in flight, oldest
+    first.
     """
 
     latency_ratio: float = 1.0
@@ -69,6 +88,10 @@
     median_ms: float = 0.0
     in_flight: int = 0
     oldest_call_at_ms: float | None = None
+    calls: dict[int, CallInFlight] = dataclasses.field(default_factory=dict)
+    load: reported_load.KnownLoad = dataclasses.field(
+        default_factory=reported_load.KnownLoad
+    )
 
     def _decay(self, now_ms: float) -> None:
         elapsed_ms = now_ms - self.decayed_at_ms
@@ -79,12 +102,20 @@
             self.decayed_at_ms = now_ms
 
     def on_reply(
-        self, now_ms: float, elapsed_ms: float, median_ms: float
+        self,
+        now_ms: float,
+        elapsed_ms: float,
+        median_ms: float,
+        work_ms: float | None = None,
     ) -> None:
-        """Update from a successful reply; its latency is ``elapsed_ms``."""
+        """Update from a successful reply; its latency is ``elapsed_ms``.
+
+        ``work_ms`` is the expected work of the call; a costly request does
+        not make the upstream look slow.
+        """
         self._decay(now_ms)
         self.median_ms = median_ms
-        ratio = elapsed_ms / median_ms
+        ratio = elapsed_ms / (work_ms or median_ms)
         self._record_response(now_ms)
         ratio = min(ratio, LATENCY_RATIO_MAX)
         self.latency_ratio += LATENCY_GAIN * (ratio - self.latency_ratio)
@@ -177,33 +208,39 @@
         self._decay(now_ms)
         self.failure_share += FAILURE_GAIN * (1.0 - self.failure_share)
 
-    def cost(
-        self, now_ms: float, median_ms: float, other_domain: bool
-    ) -> float:
+    def cost(self, now_ms: float, work_ms: float, other_domain: bool) -> float:
         """Return the expected time of a call, in milliseconds.
 
-        ``median_ms`` is the median latency of the route's calls.
+        ``work_ms`` is the expected work of the call. It waits for the work
+        of the calls in flight, and for what the upstream reports.
         """
         self._decay(now_ms)
-        cost_ms = median_ms * self.latency_ratio * (self.in_flight + 1)
+        ahead_ms = work_ms * self.in_flight
+        if self.calls:
+            ahead_ms = sum(
+                call.work_left_ms(now_ms) for call in self.calls.values()
+            )
+        cost_ms = (ahead_ms + work_ms) * self.latency_ratio
+        cost_ms *= self.load.cost_factor(now_ms)
         if now_ms < self.cold_until_ms:
             cost_ms *= COLD_COST_FACTOR
         if other_domain:
             cost_ms *= OTHER_DOMAIN_COST_FACTOR
         if self.oldest_call_at_ms is not None:
-            overdue_ms = now_ms - self.oldest_call_at_ms - 3.0 * median_ms
+            oldest_ms = OVERDUE_WORKS * self._oldest_call_work_ms(work_ms)
+            overdue_ms = now_ms - self.oldest_call_at_ms - oldest_ms
             cost_ms += max(0.0, overdue_ms)
         success_share = 1.0 - min(FAILURE_MAX, self.failure_share)
         return cost_ms / (success_share * success_share)
 
-    def steady(self, now_ms: float, median_ms: float, slots: int) -> bool:
+    def steady(self, now_ms: float, work_ms: float, slots: int) -> bool:
         """Return whether a call is expected to be answered as usual.
 
         ``slots`` is the number of calls that the upstream runs at the same
         time. This node takes at most ``STEADY_SLOTS_SHARE`` of them while
         there are other replicas, but always ``STEADY_MIN_CALLS``. A call
-        that has taken ``STEADY_CALL_MEDIANS`` times the median may be the
-        first one of a pause or an outage.
+        that has taken ``STEADY_CALL_WORKS`` times its expected work may be
+        the first one of a pause or an outage.
         """
         self._decay(now_ms)
         if self.degraded or now_ms < self.cold_until_ms:
@@ -213,7 +250,12 @@
         if self.oldest_call_at_ms is None:
             return True
         call_ms = now_ms - self.oldest_call_at_ms
-        return call_ms <= STEADY_CALL_MEDIANS * median_ms
+        expected_ms = self._oldest_call_work_ms(work_ms)
+        return call_ms <= STEADY_CALL_WORKS * expected_ms
+
+    def _oldest_call_work_ms(self, default_ms: float) -> float:
+        oldest = next(iter(self.calls.values()), None)
+        return default_ms if oldest is None else oldest.work_ms
 
     def has_room(
         self, now_ms: float, median_ms: float, left_ms: float, draw: float
@@ -268,7 +310,7 @@
 def choose(
     candidates: typing.Sequence[Candidate],
     now_ms: float,
-    median_ms: float,
+    work_ms: float,
     rng: random.Random,
 ) -> Candidate | None:
     """Draw a candidate at random, or return None if there are none.
@@ -285,7 +327,7 @@
         candidate
         for candidate in available
         if not candidate.other_domain
-        and candidate.health.steady(now_ms, median_ms, candidate.slots)
+        and candidate.health.steady(now_ms, work_ms, candidate.slots)
     ]
     pool = near or available or candidates
     if len(pool) <= 1:
@@ -293,7 +335,7 @@
     weights = []
     for candidate in pool:
         cost_ms = candidate.health.cost(
-            now_ms, median_ms, candidate.other_domain
+            now_ms, work_ms, candidate.other_domain
         )
         weights.append(1.0 / (cost_ms * cost_ms))
     return rng.choices(pool, weights)[0]
--- a/packages/tier/src/godwitflow/tier/dispatcher.py
+++ b/packages/tier/src/godwitflow/tier/dispatcher.py
@@ -18,6 +18,7 @@
 from godwitflow.policy import retry_budget
 from godwitflow.policy import routing
 from godwitflow.policy import upstream_notices
+from godwitflow.policy import work_estimates
 from godwitflow.tier import headers
 from godwitflow.tier import latency_estimates
 from godwitflow.tier import limit_watch as limit_watching
@@ -73,9 +74,10 @@
             header_names.leaving, log, metrics, random.Random(seed + 1)
         )
         self.outcomes = outcomes.Outcomes(
-            now_ms, log, limit_watch, self.notice_watch
+            now_ms, log, limit_watch, self.notice_watch, header_names.load
         )
         self.latencies = latency_estimates.LatencyEstimates()
+        self.work_estimates = work_estimates.WorkEstimates()
         self._failure_domain = failure_domain
         self._evacuated: frozenset[ids.FailureDomain] = frozenset()
         self._traffic = traffic
@@ -254,11 +256,11 @@
         return upstream if known_ms == started_at_ms else None
 
     def choose_upstream(
-        self, eligible: list[services.Upstream], median_ms: float
+        self, eligible: list[services.Upstream], work_ms: float
     ) -> services.Upstream | None:
         """Choose an upstream that has capacity; None if there is none.
 
-        ``median_ms`` is the median latency of the route's calls.
+        ``work_ms`` is the expected work of the call.
         """
         candidates = []
         by_id = {}
@@ -275,7 +277,7 @@
                     )
                 )
         chosen = replica_choice.choose(
-            candidates, self.now_ms(), median_ms, self.random
+            candidates, self.now_ms(), work_ms, self.random
         )
         return by_id[chosen.upstream] if chosen else None
 
@@ -285,13 +287,14 @@
         rank: ids.Rank,
         call: services.QueuedCall,
         customer: ids.CustomerName | None = None,
+        work_ms: float = 1.0,
     ) -> None:
         """Queue a call until an upstream has capacity.
 
         The queue is ordered by rank, most urgent first, and within a rank
-        fairly by customer.
+        fairly by customer and expected work.
         """
-        service.queue.push(call, int(rank), customer)
+        service.queue.push(call, int(rank), customer, work_ms)
 
     def next_call_key(self) -> int:
         """Count a starting call and return a unique key for it."""
--- a/packages/tier/src/godwitflow/tier/headers.py
+++ b/packages/tier/src/godwitflow/tier/headers.py
@@ -20,7 +20,7 @@
     ``credentials`` holds a customer's key, and ``customer`` its name in
     requests to upstreams. ``rate_limit`` states how many calls a second
     an upstream takes from all nodes together. ``leaving`` says that an
-    upstream shuts down.
+    upstream shuts down, ``load`` how many calls it runs and queues.
     """
 
     request_id: bytes
@@ -32,6 +32,7 @@
     missing_parts: bytes
     rate_limit: bytes
     leaving: bytes
+    load: bytes
     credentials: bytes
     customer: bytes
     request_id_out: bytes
--- a/packages/tier/src/godwitflow/tier/node.py
+++ b/packages/tier/src/godwitflow/tier/node.py
@@ -36,6 +36,7 @@
 from godwitflow.tier import permits
 from godwitflow.tier import quotas
 from godwitflow.tier import replication
+from godwitflow.tier import request_router
 from godwitflow.tier import self_registration
 from godwitflow.tier import settings as node_settings
 from godwitflow.tier import traffic
@@ -98,7 +99,7 @@
             self.limit_watch,
         )
         self.dispatcher.notice_watch.drain_ms = settings.bounds.drain_ms
-        self.router = front.RequestRouter(self.dispatcher, log, seed)
+        self.router = request_router.RequestRouter(self.dispatcher, log, seed)
         self.cluster_state = cluster_state.ClusterState(
             reactor,
             decoder,
@@ -153,7 +154,7 @@
             log,
             seed,
         )
-        self.router.quotas = self.quotas
+        self.router.customers.quotas = self.quotas
         self.directory = directory.Directory(
             self.peers, address_codec, settings.bounds.max_address_age_ms
         )
@@ -284,7 +285,6 @@
 
     def _on_configuration(self, configuration: routing.Configuration) -> None:
         self.dispatcher.apply_configuration(configuration)
-        self.quotas.apply_customers(configuration.customers or ())
         self.router.apply_configuration(configuration)
         limits = configuration.limits
         if limits is not None:
--- a/packages/tier/src/godwitflow/tier/outbound_request.py
+++ b/packages/tier/src/godwitflow/tier/outbound_request.py
@@ -5,6 +5,7 @@
 from godwitflow.model import ids
 from godwitflow.policy import customers
 from godwitflow.policy import routing
+from godwitflow.policy import work_estimates
 
 
 @dataclasses.dataclass(slots=True)
@@ -13,8 +14,10 @@
 
     ``head`` and ``tail`` are the bytes of the head before and after the
     headers that differ from call to call. ``configuration_version`` is the
-    version of the configuration that ``route`` belongs to. ``customer`` is
-    who asks, if the configuration names customers.
+    version of the configuration that ``route`` belongs to. ``work_ratio`` is
+    the expected work of a call, relative to the median of the route's, and
+    ``features`` are what it was predicted from. ``customer`` is who asks, if
+    the configuration names customers.
     """
 
     request_id: bytes | None
@@ -26,6 +29,8 @@
     received_at_ms: float
     deadline_at_ms: float
     configuration_version: int
+    features: work_estimates.Features
+    work_ratio: float
     customer: customers.Customer | None = None
 
     @property
--- a/packages/tier/src/godwitflow/tier/outcomes.py
+++ b/packages/tier/src/godwitflow/tier/outcomes.py
@@ -5,6 +5,7 @@
 from godwitflow.http1 import messages
 from godwitflow.http1 import upstreams
 from godwitflow.policy import observations
+from godwitflow.policy import reported_load
 from godwitflow.tier import latency_estimates
 from godwitflow.tier import limit_watch as limit_watching
 from godwitflow.tier import log as logs
@@ -26,12 +27,14 @@
         log: logs.Log,
         limit_watch: limit_watching.LimitWatch,
         notice_watch: notice_watching.NoticeWatch,
+        load_header: bytes,
     ) -> None:
         self.observations = observations.Observations()
         self._now_ms = now_ms
         self._log = log
         self._limit_watch = limit_watch
         self._notice_watch = notice_watch
+        self._load_header = load_header
 
     def record(
         self,
@@ -40,23 +43,28 @@
         elapsed_ms: float,
         outcome: upstreams.Outcome,
         rejected: bool,
+        work_ms: float,
     ) -> None:
         """Update an upstream's health and latency from a call's outcome.
 
-        ``rejected`` says that the response guarantees that the upstream
-        did not execute the request.
+        ``work_ms`` is the work that was expected of the call. ``rejected``
+        says that the response guarantees that the upstream did not execute
+        the request.
         """
         now_ms = self._now_ms()
         needed_trial = upstream.health.needs_trial(now_ms)
         self._record_limit(upstream, elapsed_ms, outcome, rejected, now_ms)
         paused = self._record_notices(upstream, outcome, now_ms)
+        self._record_load(upstream, outcome, now_ms)
         match outcome:
             case upstreams.Replied() if paused:
                 upstream.health.on_pause(now_ms)
             case upstreams.Replied(response) if rejected:
                 self._record_rejection(upstream, response, now_ms)
             case upstreams.Replied(response) if response.status < 500:
-                self._record_reply(upstream, latency, elapsed_ms, now_ms)
+                self._record_reply(
+                    upstream, latency, elapsed_ms, now_ms, work_ms
+                )
             case upstreams.Failed(upstreams.FailureReason.CANCELLED):
                 self._record_cancellation(upstream, elapsed_ms, now_ms)
             case _:
@@ -116,6 +124,27 @@
                     rejected or response.status >= 500,
                 )
 
+    def _record_load(
+        self,
+        upstream: services.Upstream,
+        outcome: upstreams.Outcome,
+        now_ms: float,
+    ) -> None:
+        """Learn the load that the upstream reports."""
+        match outcome:
+            case upstreams.Replied(response) if (
+                response.status != messages.MISDIRECTED
+            ):
+                report = reported_load.read_report(
+                    [
+                        value
+                        for name, value in response.headers
+                        if name.lower() == self._load_header
+                    ]
+                )
+                if report is not None:
+                    upstream.health.load.apply(report, now_ms)
+
     def _record_rejection(
         self,
         upstream: services.Upstream,
@@ -134,10 +163,12 @@
         latency: latency_estimates.LatencyEstimate,
         elapsed_ms: float,
         now_ms: float,
+        work_ms: float,
     ) -> None:
         median_ms = max(MIN_MEDIAN_MS, latency.median.value)
-        upstream.health.on_reply(now_ms, elapsed_ms, median_ms)
-        self.observations.record_reply(upstream.name, elapsed_ms / median_ms)
+        work_ms = max(MIN_MEDIAN_MS, work_ms)
+        upstream.health.on_reply(now_ms, elapsed_ms, median_ms, work_ms)
+        self.observations.record_reply(upstream.name, elapsed_ms / work_ms)
         latency.median.record(elapsed_ms)
         latency.hedge_delay.record(elapsed_ms)
 
--- a/packages/tier/src/godwitflow/tier/services.py
+++ b/packages/tier/src/godwitflow/tier/services.py
@@ -22,8 +22,7 @@
     ``other_domain`` is set if it is in another failure domain than this
     node, ``evacuated`` while the operator wants no calls to its failure
     domain. ``misdirected`` is set once it has answered 421 (Misdirected
-    Request). ``notices`` is what it has said of itself. ``call_starts``
-    holds the start times of calls in flight, oldest first. A permit for a
+    Request). ``notices`` is what it has said of itself. A permit for a
     call was denied until ``denied_until_ms``, and for an urgent call until
     ``urgent_denied_until_ms``.
     """
@@ -42,7 +41,6 @@
     )
     denied_until_ms: float = 0.0
     urgent_denied_until_ms: float = 0.0
-    call_starts: dict[int, float] = dataclasses.field(default_factory=dict)
 
     @property
     def name(self) -> ids.UpstreamId:
@@ -82,21 +80,22 @@
         )
         return now_ms < until_ms
 
-    def on_call_start(self, key: int, now_ms: float) -> None:
-        """Record that a call was started."""
-        self.call_starts[key] = now_ms
+    def on_call_start(self, key: int, now_ms: float, work_ms: float) -> None:
+        """Record that a call of an expected amount of work was started."""
+        self.health.calls[key] = replica_choice.CallInFlight(now_ms, work_ms)
         self.health.last_call_at_ms = now_ms
         self._update_health()
 
     def on_call_end(self, key: int) -> None:
         """Record that a call has ended."""
-        self.call_starts.pop(key, None)
+        self.health.calls.pop(key, None)
         self._update_health()
 
     def _update_health(self) -> None:
-        self.health.in_flight = len(self.call_starts)
-        oldest = next(iter(self.call_starts.values()), None)
-        self.health.oldest_call_at_ms = oldest
+        health = self.health
+        health.in_flight = len(health.calls)
+        oldest = next(iter(health.calls.values()), None)
+        health.oldest_call_at_ms = None if oldest is None else oldest.at_ms
 
 
 class QueuedCall(typing.Protocol):
--- a/packages/tier/src/godwitflow/tier/subrequest.py
+++ b/packages/tier/src/godwitflow/tier/subrequest.py
@@ -26,6 +26,7 @@
 class _InFlightCall:
     upstream: services.Upstream
     started_at_ms: float
+    work_ms: float
     connection: upstreams.UpstreamConnection | None = None
 
 
@@ -77,6 +78,10 @@
         """Whether the request may have run, or may be running now."""
         return self.may_have_run or bool(self._in_flight)
 
+    def expected_work_ms(self) -> float:
+        """Return the work that is expected of one call."""
+        return self._latency.median.value * self.outbound.work_ratio
+
     @property
     def unavailable(self) -> bool:
         """Whether no upstream of the service is expected to answer."""
@@ -114,6 +119,7 @@
                 self.outbound.priority,
                 self,
                 self.outbound.customer_name,
+                self.expected_work_ms(),
             )
 
     def _eligible_upstreams(self) -> list[services.Upstream]:
@@ -158,7 +164,7 @@
             end_at_ms = self.outbound.deadline_at_ms
         return upstream.health.has_room(
             now_ms,
-            self._latency.median.value,
+            self.expected_work_ms(),
             end_at_ms - now_ms,
             self.dispatcher.random.random(),
         )
@@ -169,7 +175,7 @@
         Returns False if none of them has capacity.
         """
         upstream = self.dispatcher.choose_upstream(
-            eligible, self._latency.median.value
+            eligible, self.expected_work_ms()
         )
         if upstream is None:
             return False
@@ -232,7 +238,8 @@
         now_ms = self.dispatcher.now_ms()
         trial = upstream.health.needs_trial(now_ms)
         key = self.dispatcher.next_call_key()
-        in_flight_call = _InFlightCall(upstream, now_ms)
+        work_ms = self.expected_work_ms()
+        in_flight_call = _InFlightCall(upstream, now_ms, work_ms)
         call = upstreams.Call(
             self._serialize(upstream, now_ms),
             self.outbound.request_id,
@@ -243,7 +250,7 @@
         self._in_flight[key] = in_flight_call
         self._tried.add(upstream.name)
         self.sent_count += 1
-        upstream.on_call_start(key, now_ms)
+        upstream.on_call_start(key, now_ms, work_ms)
         in_flight_call.connection = upstream.pool.try_send(call)
         if in_flight_call.connection is None:
             self._undo_send(key, upstream)
@@ -344,12 +351,14 @@
         in_flight_call.upstream.on_call_end(key)
         elapsed_ms = self.dispatcher.now_ms() - in_flight_call.started_at_ms
         rejected = self._is_rejection(outcome)
+        self._learn_work(in_flight_call, elapsed_ms, outcome, rejected)
         self.dispatcher.outcomes.record(
             in_flight_call.upstream,
             self._latency,
             elapsed_ms,
             outcome,
             rejected,
+            in_flight_call.work_ms,
         )
         if self.result is not None:
             return
@@ -368,6 +377,25 @@
                 self._reason = results.NoResponseReason.FAILED
                 self._retry(sent=sent)
 
+    def _learn_work(
+        self,
+        in_flight_call: _InFlightCall,
+        elapsed_ms: float,
+        outcome: upstreams.Outcome,
+        rejected: bool,
+    ) -> None:
+        """Learn how much work the request was, if it was run."""
+        match outcome:
+            case upstreams.Replied(response) if (
+                not rejected and response.status < 500
+            ):
+                self.dispatcher.work_estimates.record(
+                    self.outbound.features,
+                    elapsed_ms,
+                    self._latency.median.value,
+                    in_flight_call.upstream.health.latency_ratio,
+                )
+
     def _log_failure(
         self,
         in_flight_call: _InFlightCall,
--- a/packages/tier/tests/simulation.py
+++ b/packages/tier/tests/simulation.py
@@ -12,12 +12,12 @@
 from godwitflow.policy import retry_budget
 from godwitflow.policy import routing
 from godwitflow.tier import dispatcher
-from godwitflow.tier import front
 from godwitflow.tier import headers
 from godwitflow.tier import health_exchange
 from godwitflow.tier import limit_watch
 from godwitflow.tier import metrics
 from godwitflow.tier import permits
+from godwitflow.tier import request_router
 from godwitflow.tier import traffic
 from godwitflow.wire import messages as wire_messages
 
@@ -31,6 +31,7 @@
     missing_parts=b"x-missing",
     rate_limit=b"x-rate",
     leaving=b"x-leaving",
+    load=b"x-load",
     credentials=b"x-auth",
     customer=b"x-customer",
     request_id_out=b"X-Id",
@@ -179,7 +180,9 @@
             self.dispatcher, self.members.send_to_random
         )
         self.reactor.nodes[self.node] = self
-        self.router = front.RequestRouter(self.dispatcher, self.log, 1)
+        self.router = request_router.RequestRouter(
+            self.dispatcher, self.log, 1
+        )
         self.router.registrations_known = True
         self._request_ids = itertools.count()
         self.services = {}
--- a/packages/tier/tests/test_customers.py
+++ b/packages/tier/tests/test_customers.py
@@ -29,7 +29,6 @@
         self.configure(customer("acme", KEY))
 
     def configure(self, *configured):
-        self.configured = configured
         configuration = routing.Configuration(
             2, 2, tuple(self.sim.routes), {}, None, configured
         )
@@ -106,11 +105,12 @@
     def test_priority_of_a_customer_goes_before_that_of_the_route(self):
         self.configure(customer("acme", KEY, priority=ids.Rank(7)))
         ranks = []
-        self.sim.dispatcher.enqueue = lambda service, rank, call, name: (
+        self.sim.dispatcher.enqueue = lambda service, rank, *others: (
             ranks.append(rank)
         )
         for _ in range(simulation.CONNECTION_CAP * 3 + 1):
             self.sim.send(b"/one/x", headers=((b"X-Auth", b"Token " + KEY),))
+        self.sim.advance(3.0)
         self.assertEqual([7], ranks)
 
 
@@ -119,7 +119,7 @@
 
     def setUp(self):
         super().setUp()
-        self.sim.router.quotas = quotas.Quotas(
+        self.sim.router.customers.quotas = quotas.Quotas(
             self.sim.reactor,
             self.sim.reactor.now_ms,
             self.sim.node,
@@ -128,13 +128,9 @@
             self.sim.log,
             seed=1,
         )
+        self.configure(customer("acme", KEY))
         self.sim.advance(3_000.0)
 
-    def configure(self, *configured):
-        super().configure(*configured)
-        if self.sim.router.quotas is not None:
-            self.sim.router.quotas.apply_customers(configured)
-
     def test_request_beyond_the_quota_is_refused_at_once(self):
         quota = customers.Quota(1.0, 1.0)
         self.configure(customer("acme", KEY, quota=quota))
--- a/packages/tier/tests/test_outcomes.py
+++ b/packages/tier/tests/test_outcomes.py
@@ -31,7 +31,12 @@
 
     def record(self, outcome, rejected=False, elapsed_ms=20.0):
         self.dispatcher.outcomes.record(
-            self.upstream, self.latency, elapsed_ms, outcome, rejected
+            self.upstream,
+            self.latency,
+            elapsed_ms,
+            outcome,
+            rejected,
+            self.latency.median.value,
         )
 
     def test_replies_set_the_latency_of_the_route(self):
