Let stand-ins, soak and explain speak keys and evacuations

The soak's configurations name two customers; callers send a key and a forged name of a customer, and each arrival is checked for the right name and no key. explain lists evacuations.

--- a/packages/cli/src/godwitflow/cli/explanation.py
+++ b/packages/cli/src/godwitflow/cli/explanation.py
@@ -35,12 +35,18 @@
 
     def __init__(self) -> None:
         self._conditions: dict[tuple[str, str], Condition] = {}
+        self._evacuated: set[str] = set()
 
     def read(self, entry: Entry) -> None:
         """Follow a line of the node's log, in order of time."""
         match entry.get("event"):
             case "started":
                 self._conditions.clear()
+                self._evacuated.clear()
+            case "evacuation":
+                self._evacuated.add(str(entry.get("failure_domain")))
+            case "evacuation_ended":
+                self._evacuated.discard(str(entry.get("failure_domain")))
             case "upstream_leaving":
                 self._begin(entry, "leaving", "leaves")
             case "upstream_paused":
@@ -83,6 +89,13 @@
             if condition.service in services
         ]
 
+    def evacuations(self) -> list[Condition]:
+        """Return the failure domains whose upstreams get no calls."""
+        return [
+            Condition("upstreams", domain, "get no calls: evacuated")
+            for domain in sorted(self._evacuated)
+        ]
+
 
 def explain(request: str, lines: typing.Iterable[str]) -> list[str]:
     """Return a request's lines from the logs of any nodes, sorted by time.
@@ -106,7 +119,9 @@
             view.read(entry)
             continue
         explained.append(_format_entry(entry))
-        for condition in view.of(_services(entry)):
+        services = _services(entry)
+        known = view.of(services) + (view.evacuations() if services else [])
+        for condition in known:
             if (node, condition) not in shown:
                 shown.add((node, condition))
                 explained.append(_format_condition(condition, entry))
--- a/packages/cli/tests/test_explanation.py
+++ b/packages/cli/tests/test_explanation.py
@@ -113,3 +113,11 @@
             "r1", [notice(4.0, "upstream_leaving"), RETRIED, RETRIED]
         )
         self.assertEqual(3, len(story))
+
+    def test_evacuation_is_the_reason_until_it_ends(self):
+        begin = line(4.0, "evacuation", failure_domain="east")
+        end = line(4.5, "evacuation_ended", failure_domain="east")
+        self.assertEqual(
+            ["upstreams of east get no calls: evacuated"], self.known(begin)
+        )
+        self.assertEqual([], self.known(begin, end))
--- a/packages/soak/src/godwitflow/soak/callers.py
+++ b/packages/soak/src/godwitflow/soak/callers.py
@@ -39,6 +39,7 @@
         self.stopped = False
         self._reactor = reactor
         self._name = name
+        self._customer = rng.choice(sorted(fixtures.KEYS))
         self._random = rng
         self._nodes = nodes
         self._history = history
@@ -88,6 +89,7 @@
             process,
             self._reactor.seconds(),
             self._configuration_number(),
+            customer=self._customer,
         )
         self._history.requests[request_id] = record
         await self._exchange(endpoints, record)
@@ -144,6 +146,8 @@
             "Host": [fixtures.HOST],
             HEADERS.request_id_out.decode(): [record.request],
             HEADERS.deadline_out.decode(): [str(DEADLINE_MS)],
+            "Authorization": [f"Token {fixtures.KEYS[self._customer]}"],
+            HEADERS.customer_out.decode(): ["forged"],
         }
         producer: typing.Any = None
         if record.body:
--- a/packages/soak/src/godwitflow/soak/crowd.py
+++ b/packages/soak/src/godwitflow/soak/crowd.py
@@ -38,6 +38,7 @@
 REQUEST_TIMEOUT_MS = 600_000  # no client of the crowd is late
 PIPELINED_REQUESTS = 30
 PIPELINED_HEADER_BYTES = 8_192
+AUTHORIZATION = f"Authorization: Token {fixtures.KEYS['north']}"
 POLL_S = 0.1
 MAX_POLLS = 100  # clients whose node stops reading do not settle
 
@@ -83,7 +84,8 @@
         framing = f"Content-Length: {BODY_BYTES}"
     head = (
         f"POST /all/{number} HTTP/1.1\r\nHost: {fixtures.HOST}\r\n"
-        f"Request-Id: crowd-{number}\r\n{framing}\r\n\r\n"
+        f"Request-Id: crowd-{number}\r\n{AUTHORIZATION}\r\n"
+        f"{framing}\r\n\r\n"
     ).encode()
     body = _body(form)
     if number % COMPLETE_EVERY:
@@ -100,7 +102,8 @@
     padding = "x" * PIPELINED_HEADER_BYTES
     return (
         f"GET /one/{number} HTTP/1.1\r\nHost: {fixtures.HOST}\r\n"
-        f"Request-Id: crowd-{number}\r\nPadding: {padding}\r\n\r\n"
+        f"Request-Id: crowd-{number}\r\n{AUTHORIZATION}\r\n"
+        f"Padding: {padding}\r\n\r\n"
     ).encode()
 
 
--- a/packages/soak/src/godwitflow/soak/history.py
+++ b/packages/soak/src/godwitflow/soak/history.py
@@ -30,9 +30,9 @@
 class RequestRecord:
     """One request of a caller and its outcome.
 
-    ``request`` is its id. ``process`` is the name of the node process
-    that it was sent to. ``status`` is -1 while it runs, and 0 if no
-    complete response came.
+    ``request`` is its id, ``customer`` who asks. ``process`` is the name of
+    the node process that it was sent to. ``status`` is -1 while it runs, and
+    0 if no complete response came.
     """
 
     request: str
@@ -48,6 +48,7 @@
     signatures: tuple[str, ...] = ()
     missing_parts: int = 0
     response_body: bytes = b""
+    customer: str | None = None
 
 
 class History:
@@ -221,7 +222,7 @@
             problems.append(
                 f"refused: {record.request} ran, got {record.status}"
             )
-        if record.status == 404:
+        if record.status in (401, 404):
             problems.append(f"denied: {record.request} to {record.target}")
         if 200 <= record.status < 300:
             problems += self._check_response(record)
@@ -309,5 +310,17 @@
 def _is_unchanged(
     record: RequestRecord, arrival: fake_upstream.Arrival
 ) -> bool:
-    received = (arrival.method, arrival.target, arrival.body)
-    return received == (record.method, record.target, record.body)
+    received = (
+        arrival.method,
+        arrival.target,
+        arrival.body,
+        arrival.customer,
+        arrival.credentials,
+    )
+    return received == (
+        record.method,
+        record.target,
+        record.body,
+        record.customer,
+        None,
+    )
