Keep to what cold upstreams take of all nodes together

A configuration may say how many calls a second a cold upstream of a service takes. Nothing read it.

--- a/packages/policy/src/godwitflow/policy/rate_limits.py
+++ b/packages/policy/src/godwitflow/policy/rate_limits.py
@@ -48,6 +48,15 @@
             return unstated
 
 
+def lowest(*rates: float | None) -> float | None:
+    """Return the lowest of some limits; None if there is none.
+
+    >>> lowest(None, 8.0, 5.0)
+    5.0
+    """
+    return min((rate for rate in rates if rate is not None), default=None)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class LimitNews:
     """What a response of an upstream said, and when a node heard it.
--- a/packages/policy/src/godwitflow/policy/routing.py
+++ b/packages/policy/src/godwitflow/policy/routing.py
@@ -88,11 +88,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Service:
-    """A service; ``connection_cap`` is the limit of one of its upstreams."""
+    """A service; ``connection_cap`` is the limit of one of its upstreams.
+
+    A cold upstream takes ``cold_calls_per_s`` from all nodes together; 0 is
+    no limit.
+    """
 
     name: ids.ServiceName
     health_path: str
     connection_cap: int
+    cold_calls_per_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/tier/src/godwitflow/tier/dispatcher.py
+++ b/packages/tier/src/godwitflow/tier/dispatcher.py
@@ -91,9 +91,13 @@
     def apply_configuration(
         self, configuration: routing.Configuration
     ) -> None:
-        """Apply the connection caps of a configuration."""
-        for service in configuration.services.values():
-            self.service(service.name).connection_cap = service.connection_cap
+        """Apply the limits that a configuration sets for upstreams."""
+        for configured in configuration.services.values():
+            service = self.service(configured.name)
+            service.connection_cap = configured.connection_cap
+            service.cold_calls_per_s = configured.cold_calls_per_s
+            for upstream in service.upstreams:
+                upstream.cold_calls_per_s = configured.cold_calls_per_s
         self._update_connection_limits()
 
     def apply_node_count(self, node_count: int) -> None:
@@ -192,6 +196,7 @@
             replica_choice.ReplicaHealth(decayed_at_ms=self.now_ms()),
             entry.failure_domain != self._failure_domain,
             evacuated=entry.failure_domain in self._evacuated,
+            cold_calls_per_s=service.cold_calls_per_s,
             notices=self.notice_watch.notices_of(entry),
         )
         self._upstreams[entry.upstream] = upstream
--- a/packages/tier/src/godwitflow/tier/limit_watch.py
+++ b/packages/tier/src/godwitflow/tier/limit_watch.py
@@ -85,7 +85,7 @@
         if news is None:
             return
         self.apply(upstream, news, now_ms)
-        if upstream.limited:
+        if upstream.limit.calls_per_s is not None:
             self._to_report[upstream.name] = upstream
 
     def _on_unreadable(
--- a/packages/tier/src/godwitflow/tier/permit_issuing.py
+++ b/packages/tier/src/godwitflow/tier/permit_issuing.py
@@ -49,6 +49,8 @@
         """Learn the limits that the sender knows."""
         now_ms = self._now_ms()
         for want in wants:
+            if want.cold:
+                continue
             upstream = self._find_upstream(want.upstream, want.started_at_ms)
             if upstream is not None and want.calls_per_s > 0.0:
                 news = rate_limits.LimitNews(
@@ -69,15 +71,17 @@
             rate_limits.MIN_CALLS_PER_S, want.calls_per_s
         )
         age_ms = None
+        stated_per_s = None
         upstream = self._find_upstream(want.upstream, want.started_at_ms)
         if upstream is not None and upstream.limit.news is not None:
-            calls_per_s = upstream.limit.calls_per_s
+            calls_per_s = upstream.calls_per_s(now_ms)
+            stated_per_s = upstream.limit.calls_per_s
             age_ms = now_ms - upstream.limit.news.heard_at_ms
         if calls_per_s is None:
             return messages.PermitAnswer(want.ticket, True, 0.0, None, age_ms)
         if upstream is not None and not self._issues_for(upstream, role):
             return messages.PermitAnswer(
-                want.ticket, False, policy.MIN_WAIT_MS, calls_per_s, age_ms
+                want.ticket, False, policy.MIN_WAIT_MS, stated_per_s, age_ms
             )
         decision = self._issuer.decide(
             policy.Instance(want.upstream, want.started_at_ms),
@@ -93,7 +97,7 @@
             case policy.Denied(wait_ms):
                 issued = False
         return messages.PermitAnswer(
-            want.ticket, issued, round(wait_ms, 1), calls_per_s, age_ms
+            want.ticket, issued, round(wait_ms, 1), stated_per_s, age_ms
         )
 
     def _issues_for(
--- a/packages/tier/src/godwitflow/tier/permits.py
+++ b/packages/tier/src/godwitflow/tier/permits.py
@@ -198,12 +198,14 @@
     ticket: int, upstream: services.Upstream, urgent: bool, now_ms: float
 ) -> messages.PermitWant:
     news = upstream.limit.news
+    cold_limit = upstream.cold_limit(now_ms)
     age_ms = 0.0 if news is None else round(now_ms - news.heard_at_ms, 1)
     return messages.PermitWant(
         ticket,
         upstream.name,
         upstream.registration.started_at_ms,
         urgent,
-        upstream.limit.calls_per_s or rate_limits.MIN_CALLS_PER_S,
+        upstream.calls_per_s(now_ms) or rate_limits.MIN_CALLS_PER_S,
         age_ms,
+        cold_limit is not None,
     )
--- a/packages/tier/src/godwitflow/tier/services.py
+++ b/packages/tier/src/godwitflow/tier/services.py
@@ -21,10 +21,11 @@
 
     ``other_domain`` is set if it is in another failure domain than this
     node, ``evacuated`` while the operator wants no calls to its failure
-    domain. ``misdirected`` is set once it has answered 421 (Misdirected
-    Request). ``notices`` is what it has said of itself. A permit for a
-    call was denied until ``denied_until_ms``, and for an urgent call until
-    ``urgent_denied_until_ms``.
+    domain. While it is cold it takes ``cold_calls_per_s`` from all nodes
+    together, or any number if that is 0. ``misdirected`` is set once it has
+    answered 421 (Misdirected Request). ``notices`` is what it has said of
+    itself. A permit for a call was denied until ``denied_until_ms``, and for
+    an urgent call until ``urgent_denied_until_ms``.
     """
 
     registration: registrations.Registration
@@ -33,6 +34,7 @@
     other_domain: bool
     misdirected: bool = False
     evacuated: bool = False
+    cold_calls_per_s: float = 0.0
     notices: upstream_notices.Notices = dataclasses.field(
         default_factory=upstream_notices.Notices
     )
@@ -47,10 +49,21 @@
         """The upstream's id."""
         return self.registration.upstream
 
-    @property
-    def limited(self) -> bool:
-        """Whether each call needs a permit."""
-        return self.limit.calls_per_s is not None
+    def cold_limit(self, now_ms: float) -> float | None:
+        """Return the calls a second that it takes while it is cold."""
+        if now_ms < self.health.cold_until_ms and self.cold_calls_per_s > 0.0:
+            return max(rate_limits.MIN_CALLS_PER_S, self.cold_calls_per_s)
+        return None
+
+    def calls_per_s(self, now_ms: float) -> float | None:
+        """Return the calls a second that it takes; None without a limit."""
+        return rate_limits.lowest(
+            self.limit.calls_per_s, self.cold_limit(now_ms)
+        )
+
+    def limited(self, now_ms: float) -> bool:
+        """Return whether each call needs a permit."""
+        return self.calls_per_s(now_ms) is not None
 
     def usage(self, now_ms: float) -> upstream_notices.Usage:
         """Return what the upstream may be used for."""
@@ -73,7 +86,7 @@
 
     def denied(self, urgent: bool, now_ms: float) -> bool:
         """Return whether a permit was denied and cannot be had yet."""
-        if not self.limited:
+        if not self.limited(now_ms):
             return False
         until_ms = (
             self.urgent_denied_until_ms if urgent else self.denied_until_ms
@@ -120,6 +133,7 @@
     ) -> None:
         self.name = name
         self.connection_cap = DEFAULT_CONNECTION_CAP
+        self.cold_calls_per_s = 0.0
         self.upstreams: list[Upstream] = []
         self.retry_budget = retry_budget.RetryBudget(retry_limits)
         self.queue: fair_queue.FairQueue[QueuedCall] = fair_queue.FairQueue()
--- a/packages/tier/src/godwitflow/tier/subrequest.py
+++ b/packages/tier/src/godwitflow/tier/subrequest.py
@@ -143,13 +143,13 @@
             permitted = [
                 upstream
                 for upstream in permitted
-                if upstream.limited or self._has_room(upstream, now_ms)
+                if upstream.limited(now_ms) or self._has_room(upstream, now_ms)
             ]
         if untried and not permitted:
             self._reason = results.NoResponseReason.RATE_LIMITED
         if not untried and self.service.back_in_ms(now_ms) is not None:
             self._reason = results.NoResponseReason.PAUSED
-        unlimited = [item for item in permitted if not item.limited]
+        unlimited = [item for item in permitted if not item.limited(now_ms)]
         return (self._permit_denied and unlimited) or permitted
 
     def _has_room(self, upstream: services.Upstream, now_ms: float) -> bool:
@@ -179,7 +179,7 @@
         )
         if upstream is None:
             return False
-        if not upstream.limited:
+        if not upstream.limited(self.dispatcher.now_ms()):
             return self._send_to(upstream, self._call_kind)
         self._awaiting_permit += 1
         self._tried.add(upstream.name)
--- a/packages/tier/tests/simulated_upstreams.py
+++ b/packages/tier/tests/simulated_upstreams.py
@@ -61,6 +61,7 @@
     leaving: tuple = ()
     retry_after: tuple = ()
     started_at_ms: int = 1
+    cold_left_ms: float = 0.0
     requests: list = dataclasses.field(default_factory=list)
     transports: list = dataclasses.field(default_factory=list)
     slots: int = 0
@@ -90,7 +91,7 @@
             ids.FailureDomain("d1"),
             2,
             registrations.UpstreamState.READY,
-            0.0,
+            self.cold_left_ms,
             1,
             self.started_at_ms,
         )
--- a/packages/tier/tests/simulation.py
+++ b/packages/tier/tests/simulation.py
@@ -220,9 +220,11 @@
         self.services[service] = upstreams
         self.reactor.services[service] = upstreams
 
-    def apply_configuration(self):
+    def apply_configuration(self, cold_calls_per_s=0.0):
         services = {
-            name: routing.Service(name, "/health", CONNECTION_CAP)
+            name: routing.Service(
+                name, "/health", CONNECTION_CAP, cold_calls_per_s
+            )
             for name in self.services
         }
         configuration = routing.Configuration(
--- a/packages/wire/src/godwitflow/wire/messages.py
+++ b/packages/wire/src/godwitflow/wire/messages.py
@@ -344,7 +344,8 @@
 
     ``ticket`` identifies it in the answer. ``started_at_ms`` is the Unix
     time of the upstream's start. The sender heard ``age_ms`` ago that the
-    upstream takes ``calls_per_s`` from all nodes together.
+    upstream takes ``calls_per_s`` from all nodes together. If it takes so
+    few because it is ``cold``, that is no news of a limit it stated.
     """
 
     ticket: int
@@ -353,6 +354,7 @@
     urgent: bool
     calls_per_s: Rate
     age_ms: Milliseconds
+    cold: bool = False
 
 
 class PermitRequest(msgspec.Struct, frozen=True, array_like=True, tag=21):
