Do not take the wait for the first configuration for a pause

A node noticed pauses only while a configuration named customers. So the time until the first one counted as a pause: its buckets started anew and issued a part of the spare for 1.5 s, at each start. Time is kept in any case now. A pause counts from 2 s, as peers do not take over before; busy nodes were late by one second in the first seconds after a restart. test_quota_issuing failed before.

--- a/packages/tier/src/godwitflow/tier/quota_issuing.py
+++ b/packages/tier/src/godwitflow/tier/quota_issuing.py
@@ -14,7 +14,8 @@
 START_MS = 10_000.0
 UNLISTED_START_MS = 700.0
 LONE_START_MS = 300.0
-PAUSE_MS = 1_000.0
+# Shorter than peers take to declare this node dead and take over.
+PAUSE_MS = 2_000.0
 MAX_LOGGED = 10
 
 
@@ -81,6 +82,8 @@
         now_ms = self._now_ms()
         paused = now_ms - self._ticked_at_ms > PAUSE_MS
         self._ticked_at_ms = now_ms
+        if not self._customers:
+            return
         if paused:
             self._issuer.forget_all()
             self._primary_since_ms.clear()
--- a/packages/tier/src/godwitflow/tier/quotas.py
+++ b/packages/tier/src/godwitflow/tier/quotas.py
@@ -113,8 +113,7 @@
 
     def tick(self) -> None:
         """Notice pauses of this node and the groups that it issues for."""
-        if self._customers:
-            self.issuing.tick()
+        self.issuing.tick()
 
     # Asking -------------------------------------------------------------
 
