Say where a request would go now, without sending it

A node answers GET /where on its second inner port: route, version, customer and its tokens in reserve, and for each service the replicas with their expected cost, the work they have left and what excludes them.

--- a/packages/policy/src/godwitflow/policy/replica_choice.py
+++ b/packages/policy/src/godwitflow/policy/replica_choice.py
@@ -215,11 +215,7 @@
         of the calls in flight, and for what the upstream reports.
         """
         self._decay(now_ms)
-        ahead_ms = work_ms * self.in_flight
-        if self.calls:
-            ahead_ms = sum(
-                call.work_left_ms(now_ms) for call in self.calls.values()
-            )
+        ahead_ms = self.work_left_ms(now_ms) or work_ms * self.in_flight
         cost_ms = (ahead_ms + work_ms) * self.latency_ratio
         cost_ms *= self.load.cost_factor(now_ms)
         if now_ms < self.cold_until_ms:
@@ -233,6 +229,10 @@
         success_share = 1.0 - min(FAILURE_MAX, self.failure_share)
         return cost_ms / (success_share * success_share)
 
+    def work_left_ms(self, now_ms: float) -> float:
+        """Return the work that is left of this node's calls in flight."""
+        return sum(call.work_left_ms(now_ms) for call in self.calls.values())
+
     def steady(self, now_ms: float, work_ms: float, slots: int) -> bool:
         """Return whether a call is expected to be answered as usual.
 
@@ -313,9 +313,25 @@
     work_ms: float,
     rng: random.Random,
 ) -> Candidate | None:
-    """Draw a candidate at random, or return None if there are none.
+    """Draw a candidate at random, or return None if there are none."""
+    pool = preferred(candidates, now_ms, work_ms)
+    if len(pool) <= 1:
+        return pool[0] if pool else None
+    weights = []
+    for candidate in pool:
+        cost_ms = candidate.health.cost(
+            now_ms, work_ms, candidate.other_domain
+        )
+        weights.append(1.0 / (cost_ms * cost_ms))
+    return rng.choices(pool, weights)[0]
 
-    Unavailable upstreams are chosen only if there are no others, and
+
+def preferred(
+    candidates: typing.Sequence[Candidate], now_ms: float, work_ms: float
+) -> typing.Sequence[Candidate]:
+    """Return the candidates that one is drawn from.
+
+    Unavailable upstreams are among them only if there are no others, and
     upstreams of other failure domains only if none of the own is steady.
     """
     available = [
@@ -329,13 +345,4 @@
         if not candidate.other_domain
         and candidate.health.steady(now_ms, work_ms, candidate.slots)
     ]
-    pool = near or available or candidates
-    if len(pool) <= 1:
-        return pool[0] if pool else None
-    weights = []
-    for candidate in pool:
-        cost_ms = candidate.health.cost(
-            now_ms, work_ms, candidate.other_domain
-        )
-        weights.append(1.0 / (cost_ms * cost_ms))
-    return rng.choices(pool, weights)[0]
+    return near or available or candidates
--- a/packages/tier/src/godwitflow/tier/dispatcher.py
+++ b/packages/tier/src/godwitflow/tier/dispatcher.py
@@ -267,24 +267,25 @@
 
         ``work_ms`` is the expected work of the call.
         """
-        candidates = []
-        by_id = {}
-        for upstream in eligible:
-            if upstream.pool.has_capacity:
-                name = upstream.name
-                by_id[name] = upstream
-                candidates.append(
-                    replica_choice.Candidate(
-                        name,
-                        upstream.health,
-                        upstream.other_domain,
-                        upstream.registration.slots,
-                    )
-                )
         chosen = replica_choice.choose(
-            candidates, self.now_ms(), work_ms, self.random
+            _candidates(eligible), self.now_ms(), work_ms, self.random
         )
-        return by_id[chosen.upstream] if chosen else None
+        if chosen is None:
+            return None
+        return next(
+            upstream
+            for upstream in eligible
+            if upstream.name == chosen.upstream
+        )
+
+    def preferred_upstreams(
+        self, eligible: list[services.Upstream], work_ms: float
+    ) -> set[ids.UpstreamId]:
+        """Return the names of those that ``choose_upstream`` draws from."""
+        pool = replica_choice.preferred(
+            _candidates(eligible), self.now_ms(), work_ms
+        )
+        return {candidate.upstream for candidate in pool}
 
     def enqueue(
         self,
@@ -362,6 +363,21 @@
             upstream.health.on_peer_report(self.now_ms(), observation)
 
 
+def _candidates(
+    eligible: list[services.Upstream],
+) -> list[replica_choice.Candidate]:
+    return [
+        replica_choice.Candidate(
+            upstream.name,
+            upstream.health,
+            upstream.other_domain,
+            upstream.registration.slots,
+        )
+        for upstream in eligible
+        if upstream.pool.has_capacity
+    ]
+
+
 def _ignore_crashes(fingerprint: ids.Fingerprint, crashes: int) -> None:
     """Default ``on_crashes``; a node replaces it to inform its peers."""
 
--- a/packages/tier/src/godwitflow/tier/node.py
+++ b/packages/tier/src/godwitflow/tier/node.py
@@ -40,6 +40,7 @@
 from godwitflow.tier import self_registration
 from godwitflow.tier import settings as node_settings
 from godwitflow.tier import traffic
+from godwitflow.tier import where
 from godwitflow.wire import messages
 
 CHECK_INTERVAL_S = 0.5
@@ -155,6 +156,7 @@
             seed,
         )
         self.router.customers.quotas = self.quotas
+        self._where = where.Where(settings.node, self.router, now_ms)
         self.directory = directory.Directory(
             self.peers, address_codec, settings.bounds.max_address_age_ms
         )
@@ -397,7 +399,10 @@
         )
 
     def _on_metrics_request(self, exchange: callers.Exchange) -> None:
-        """Respond with all metrics as text."""
+        """Respond with all metrics as text, or with a request's plan."""
+        if exchange.request.path == where.PATH:
+            self._where.handle(exchange)
+            return
         connections = len(self._caller_listener.connections)
         members = self.peers.membership.all_members()
         lines = [
--- a/packages/tier/src/godwitflow/tier/quotas.py
+++ b/packages/tier/src/godwitflow/tier/quotas.py
@@ -116,6 +116,11 @@
         """Notice pauses of this node and the groups that it issues for."""
         self.issuing.tick()
 
+    def tokens_in_reserve(self, name: ids.CustomerName) -> int:
+        """Return how many requests this node may admit without asking."""
+        quota = self._customers.get(name)
+        return 0 if quota is None else quota.held(self._now_ms())
+
     # Asking -------------------------------------------------------------
 
     def admit(
