--- a/packages/cli/src/godwitflow/cli/main.py
+++ b/packages/cli/src/godwitflow/cli/main.py
@@ -13,6 +13,7 @@
 from godwitflow.caller import client
 from godwitflow.cli import commands
 from godwitflow.cli import explanation
+from godwitflow.cli import placement
 from godwitflow.model import answers
 from godwitflow.model import errors
 from godwitflow.model import ids
@@ -126,6 +127,50 @@
     return EXIT_OK
 
 
+@app.command
+def where(
+    method: str,
+    target: str,
+    *,
+    node: str,
+    host: str,
+    key: pathlib.Path | None = None,
+    json: bool = False,
+) -> int:
+    """Show where a request would go now, and why, without sending it.
+
+    Parameters
+    ----------
+    method
+        The request's method.
+    target
+        The request's path, with its query.
+    node
+        The address of a node's metrics, IP:PORT.
+    host
+        The request's Host header.
+    key
+        A file that holds the customer's key.
+    json
+        Print JSON.
+    """
+
+    def action() -> None:
+        secret = placement.read_key(key)
+        plan = _run_on_reactor(
+            lambda reactor: placement.ask(
+                reactor, node, method, target, host, secret
+            )
+        )
+        if json:
+            print(msgspec.json.encode(plan).decode())
+            return
+        for line in placement.lines(plan):
+            print(line)
+
+    return _report_errors(action)
+
+
 @app.command
 def diff(folder: pathlib.Path, *, platform: str, json: bool = False) -> int:
     """Show what applying a folder would change.
