--- a/packages/http1/src/godwitflow/http1/callers.py
+++ b/packages/http1/src/godwitflow/http1/callers.py
@@ -239,9 +239,11 @@
         """Return the order in which to close it, None while it serves."""
         if self._unsent_bytes:
             return 0, self.state_since_ms
+        order = (State.CLOSING, State.READING, State.IDLE)
         if self._exchange is not None or self._queue:
             return None
-        order = (State.CLOSING, State.READING, State.IDLE)
+        if self.state not in order:
+            return None
         return order.index(self.state), self.state_since_ms
 
     def pauseProducing(self) -> None:  # noqa: N802
