Serve the backlog after a restart of all nodes within quotas

After a power loss of all nodes customers were refused within their quotas: buckets start empty, and what they got at the start was cut to the burst, 3 tokens for a customer of 3 a second. Right after a restart of all nodes no reserves are left and no other issuer lives, so a bucket gets 0.4 of the spare requests then (0.15 otherwise), beside its capacity and for one window.

test_backlog_after_a_restart_of_all_nodes_is_served failed before; the bound holds over restarts of all nodes in a row.

--- a/packages/policy/src/godwitflow/policy/quotas.py
+++ b/packages/policy/src/godwitflow/policy/quotas.py
@@ -30,6 +30,8 @@
 STANDBY_PART = 0.1
 TAKEOVER_PART = 0.2
 START_PART = 0.15
+# After a restart of all nodes no reserves are left, and no other issuer.
+RESTART_PART = 0.4
 # Nodes notice a split within this time of each other.
 TAKEOVER_MS = 1_500.0
 RESERVE_LIFETIME_MS = 10_000.0
@@ -82,12 +84,14 @@
     """What part of a quota a node may issue.
 
     ``share`` is that of the fleet's nodes which the node can reach. It
-    issues in its role since ``since_ms``.
+    issues in its role since ``since_ms``. A new bucket holds ``start_part``
+    of the spare requests.
     """
 
     role: Role
     share: float
     since_ms: float
+    start_part: float = START_PART
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -120,14 +124,32 @@
 
 @dataclasses.dataclass(slots=True)
 class _Bucket:
-    """``reserves`` holds the expiry times of each node's reserve tokens."""
+    """The tokens of one customer.
+
+    ``credit`` is what is left of the tokens that it got once, at its start,
+    as ``start_part`` of the spare requests; it is spent last, and lost a
+    window later. ``reserves``
+    holds the expiry times of each node's reserve tokens.
+    """
 
     tokens: float
     refilled_at_ms: float
+    credit: float = 0.0
+    start_part: float = 0.0
     reserves: dict[ids.NodeId, list[float]] = dataclasses.field(
         default_factory=dict
     )
 
+    def take(self) -> bool:
+        """Take a token; False if there is none."""
+        if round(self.tokens, ROUNDING_DIGITS) >= 1.0:
+            self.tokens -= 1.0
+        elif round(self.credit, ROUNDING_DIGITS) >= 1.0:
+            self.credit -= 1.0
+        else:
+            return False
+        return True
+
     def drop_reserves(
         self, node: ids.NodeId, held: int, now_ms: float
     ) -> None:
@@ -181,9 +203,8 @@
         )
         bucket.drop_reserves(node, held, now_ms)
         if needed:
-            if round(bucket.tokens, ROUNDING_DIGITS) < 1.0:
+            if not bucket.take():
                 return Denial(_wait_ms(bucket.tokens, rate_per_s))
-            bucket.tokens -= 1.0
         if held or authority.role is not Role.PRIMARY:
             return Grant()
         if not self._may_reserve(customer.quota, bucket, capacity):
@@ -230,9 +251,13 @@
         bucket = self._buckets.get(key)
         if bucket is None:
             bucket = _Bucket(0.0, authority.since_ms)
-            if authority.share > 0.5 and customer.quota is not None:
-                bucket.tokens = START_PART * self.bounds.spare(customer.quota)
             self._buckets[key] = bucket
+        if now_ms - authority.since_ms > self.bounds.window_ms:
+            bucket.credit = 0.0
+        elif authority.share > 0.5 and customer.quota is not None:
+            part = max(0.0, authority.start_part - bucket.start_part)
+            bucket.credit += part * self.bounds.spare(customer.quota)
+            bucket.start_part += part
         elapsed_s = max(0.0, now_ms - bucket.refilled_at_ms) / MS_PER_S
         bucket.tokens = min(capacity, bucket.tokens + rate_per_s * elapsed_s)
         bucket.refilled_at_ms = now_ms
--- a/packages/tier/src/godwitflow/tier/peer_protocol.py
+++ b/packages/tier/src/godwitflow/tier/peer_protocol.py
@@ -25,6 +25,7 @@
 
 TICK_S = 0.1
 MEMBERS_PER_DATAGRAM = 12
+STARTED_TOGETHER_MS = 6_000
 
 
 class MessageHandler(typing.Protocol):
@@ -358,6 +359,18 @@
         """Return how many nodes the store listed; 0 if it is not known."""
         return self.introductions.listed_count
 
+    def started_together(self) -> bool:
+        """Return whether all live nodes have started at about one time.
+
+        An incarnation is the Unix time of a node's start; the clocks of VMs
+        may differ by some seconds.
+        """
+        own = self.membership.me.incarnation
+        return all(
+            member.incarnation > own - STARTED_TOGETHER_MS
+            for member in self.membership.live_members()
+        )
+
     def node_count(self) -> int:
         """Return the number of nodes that share caps and budgets.
 
--- a/packages/tier/src/godwitflow/tier/quota_issuing.py
+++ b/packages/tier/src/godwitflow/tier/quota_issuing.py
@@ -26,6 +26,10 @@
         """Return how many nodes the store listed; 0 if it is not known."""
         ...
 
+    def started_together(self) -> bool:
+        """Return whether all live nodes have started at about one time."""
+        ...
+
 
 class QuotaIssuing:
     """Decides on the tokens that nodes ask for."""
@@ -171,6 +175,18 @@
             policy.Role.PRIMARY if settled else policy.Role.NEW_PRIMARY,
             self._live_share(now_ms),
             since_ms,
+            policy.RESTART_PART
+            if self._is_fleet_restart(now_ms)
+            else policy.START_PART,
+        )
+
+    def _is_fleet_restart(self, now_ms: float) -> bool:
+        """Return whether all nodes have just started, as far as is known."""
+        return (
+            now_ms - self._started_at_ms < START_MS
+            and not self._is_unlisted(now_ms)
+            and len(self._members.live_nodes()) > 1
+            and self._members.started_together()
         )
 
     def _is_unlisted(self, now_ms: float) -> bool:
--- a/packages/tier/tests/quota_fleet.py
+++ b/packages/tier/tests/quota_fleet.py
@@ -35,6 +35,7 @@
         self.dead = set()
         self.inbox = []
         self.sent = 0
+        self.started_at_ms = fleet.now_ms()
         self.quotas = quotas.Quotas(
             fleet.clock,
             fleet.now_ms,
@@ -52,6 +53,13 @@
     def node_count(self):
         return len(self.fleet.names)
 
+    def started_together(self):
+        return all(
+            self.fleet.nodes[name].started_at_ms > self.started_at_ms - 6_000.0
+            for name in self.live_nodes()
+            if name in self.fleet.nodes
+        )
+
     def listed_count(self):
         return len(self.fleet.names)
 
--- a/packages/tier/tests/simulation.py
+++ b/packages/tier/tests/simulation.py
@@ -63,6 +63,9 @@
     def live_nodes(self):
         return [node for node in self.reactor.nodes if node not in self.dead]
 
+    def started_together(self):
+        return False
+
     def listed_count(self):
         return len(self.reactor.nodes)
 
--- a/packages/tier/tests/test_fleet_quotas.py
+++ b/packages/tier/tests/test_fleet_quotas.py
@@ -5,6 +5,7 @@
 
 import quota_fleet
 
+from godwitflow.policy import customers
 from godwitflow.policy import quotas
 
 BOUNDS = quotas.QuotaBounds()
@@ -110,6 +111,26 @@
         self.assert_bound(fleet)
         self.assertGreater(len(fleet.admitted["hot"]), 60)
 
+    def test_backlog_after_a_restart_of_all_nodes_is_served(self):
+        fleet = quota_fleet.QuotaFleet(9, quota=customers.Quota(3.0, 3.0))
+        for name in list(fleet.names):
+            fleet.kill(name, 500.0)
+        fleet.run(1_500.0)
+        for node in fleet.nodes.values():
+            fleet.ask("calm", node)
+        fleet.run(300.0)
+        self.assertEqual(0, fleet.refused["calm"])
+
+    def test_restarts_of_all_nodes_in_a_row_keep_the_bound(self):
+        for quota in (customers.Quota(3.0, 3.0), customers.Quota(40.0, 40.0)):
+            fleet = quota_fleet.QuotaFleet(9, quota=quota)
+            fleet.run(1_000.0, hot=300.0)
+            for _ in range(2):
+                for name in list(fleet.names):
+                    fleet.kill(name, 1_000.0)
+                fleet.run(4_000.0, hot=300.0)
+            self.assert_bound(fleet)
+
     def test_killed_issuer_is_replaced(self):
         fleet = quota_fleet.QuotaFleet(9)
         fleet.run(1_000.0, calm=6.0)
