--- a/packages/http1/tests/test_upstreams.py
+++ b/packages/http1/tests/test_upstreams.py
@@ -491,6 +491,7 @@
 
 
 def load_tests(loader, tests, pattern):
-    """Add the doctests of the memory limit."""
+    """Add the doctests of the memory limit and of statuses."""
     tests.addTests(doctest.DocTestSuite(receive_memory))
+    tests.addTests(doctest.DocTestSuite(upstreams))
     return tests
--- a/packages/policy/src/godwitflow/policy/quotas.py
+++ b/packages/policy/src/godwitflow/policy/quotas.py
@@ -128,8 +128,8 @@
 
     ``credit`` is what is left of the tokens that it got once, at its start,
     as ``start_part`` of the spare requests; it is spent last, and lost a
-    window later. ``reserves``
-    holds the expiry times of each node's reserve tokens.
+    window later. ``reserves`` holds the expiry times of each node's reserve
+    tokens.
     """
 
     tokens: float
--- a/packages/policy/tests/test_customers.py
+++ b/packages/policy/tests/test_customers.py
@@ -1,5 +1,6 @@
 """Tests of finding the customer of a request."""
 
+import doctest
 import unittest
 
 from godwitflow.model import ids
@@ -54,3 +55,8 @@
         table = customers.CustomerTable([first, customer("a", b"k")])
         self.assertIs(first, table.identify([b"Token k"]))
         self.assertEqual(["a", "b"], table.shared_names)
+
+
+def load_tests(loader, tests, pattern):
+    tests.addTests(doctest.DocTestSuite(customers))
+    return tests
--- a/packages/policy/tests/test_quotas.py
+++ b/packages/policy/tests/test_quotas.py
@@ -1,5 +1,6 @@
 """Tests of issuing customers' quotas."""
 
+import doctest
 import random
 import unittest
 
@@ -128,3 +129,8 @@
         quota = quotas.NodeQuota([100.0, 200.0])
         self.assertTrue(quota.take(150.0))
         self.assertFalse(quota.take(150.0))
+
+
+def load_tests(loader, tests, pattern):
+    tests.addTests(doctest.DocTestSuite(quotas))
+    return tests
--- a/packages/policy/tests/test_reported_load.py
+++ b/packages/policy/tests/test_reported_load.py
@@ -1,5 +1,6 @@
 """Tests of the load that upstreams report."""
 
+import doctest
 import unittest
 
 from godwitflow.policy import reported_load
@@ -47,3 +48,8 @@
     def test_false_report_has_a_bounded_effect(self):
         self.assertLessEqual(self.cost_factor(9, 999_999, 1, 9_999.0), 24.0)
         self.assertGreaterEqual(self.cost_factor(0, 0, 1, 0.0), 0.5)
+
+
+def load_tests(loader, tests, pattern):
+    tests.addTests(doctest.DocTestSuite(reported_load))
+    return tests
--- a/packages/tier/tests/test_peer_protocol.py
+++ b/packages/tier/tests/test_peer_protocol.py
@@ -43,7 +43,7 @@
 
 
 class RecordingHandler(IgnoringHandler):
-    """Records what it receives about rate limits."""
+    """Records what it receives about rate limits and quotas."""
 
     def __init__(self):
         self.received = []
@@ -52,6 +52,7 @@
         self.received.append((sender, message))
 
     on_permit_request = on_permit_reply = on_limit_reports
+    on_quota_request = on_quota_reply = on_limit_reports
 
 
 class Transport:
@@ -87,7 +88,14 @@
         for number, address in enumerate(self.addresses):
             self.by_address[address] = self.new_node(number, address)
 
-    def new_node(self, number, address, seeds=None, handler=None):
+    def new_node(
+        self,
+        number,
+        address,
+        seeds=None,
+        handler=None,
+        started_at_ms=1_791_954_679_000,
+    ):
         domain = ids.FailureDomain(f"domain-{number % 4}")
         me = messages.MemberUpdate(
             ids.NodeId(f"front-domain-{number % 4}-{number}"),
@@ -95,7 +103,7 @@
             address,
             address.replace(":7740", ":8226"),
             "",
-            1_791_954_679_000,
+            started_at_ms,
             messages.MemberState.ALIVE,
         )
         node = peer_protocol.PeerProtocol(
@@ -196,8 +204,22 @@
             self.assertNotIn(leaving.membership.me.node, ready)
 
 
-class RateLimitMessagesTest(unittest.TestCase):
-    def test_messages_about_rate_limits_reach_the_handler_unchanged(self):
+class StartedTogetherTest(unittest.TestCase):
+    def test_node_that_has_run_for_longer_shows_that_not_all_restarted(self):
+        fleet = Fleet(3)
+        fleet.advance(2.0)
+        old = fleet.by_address[fleet.addresses[0]]
+        self.assertTrue(old.started_together())
+        address = "10.0.9.9:7740"
+        young = fleet.new_node(9, address, started_at_ms=1_791_954_900_000)
+        fleet.by_address[address] = young
+        fleet.advance(2.0)
+        self.assertFalse(young.started_together())
+        self.assertTrue(old.started_together())
+
+
+class IssuerMessagesTest(unittest.TestCase):
+    def test_messages_of_issuers_reach_the_handler_unchanged(self):
         fleet = Fleet(2)
         handler = RecordingHandler()
         address = "10.0.9.9:7740"
@@ -215,6 +237,10 @@
             messages.PermitRequest(True, (want,)),
             messages.PermitReply((denied, issued)),
             messages.LimitReports((ended,)),
+            messages.QuotaRequest(
+                False, (messages.QuotaWant(9, "acme", 1, True),)
+            ),
+            messages.QuotaReply((messages.QuotaAnswer(9, True, 1, 0.0),)),
         ]
         for message in sent:
             sender.send_to([receiver.membership.me.node], message)
