Receive few large requests at the same time

With 1,500 and with 3,000 clients that send very small chunks (300 MB, 4,100 descriptors) an ordinary request got no answer within 3 s: parsing the chunks of all at once kept the node busy. Now at most 256 requests that are not small are received at a time, the oldest is refused beyond, and chunked bodies are read in smaller pieces.

The crowd's own caller waits for its answer for a minute now, as the test is to check no times.

--- a/packages/http1/src/godwitflow/http1/caller_capacity.py
+++ b/packages/http1/src/godwitflow/http1/caller_capacity.py
@@ -20,10 +20,13 @@
     """What the requests and connections of all callers may take.
 
     ``request_bytes`` bounds the headers and bodies of requests that are
-    received, queued or handled.
+    received, queued or handled. ``incomplete_requests`` bounds how many
+    requests that are not small are received at the same time: reading many
+    at once delays the requests of all others.
     """
 
     request_bytes: int = 67_108_864
+    incomplete_requests: int = 256
     connections: int = 2_925
 
 
@@ -87,9 +90,15 @@
             self._receiving.pop(connection, None)
         else:
             self._receiving.setdefault(connection)
-        while self._receiving and self.held_bytes > self.limits.request_bytes:
+        while self._receiving and self._is_full():
             self._refuse(next(iter(self._receiving)))
 
+    def _is_full(self) -> bool:
+        return (
+            self.held_bytes > self.limits.request_bytes
+            or len(self._receiving) > self.limits.incomplete_requests
+        )
+
     def has_room(self, connection: Connection) -> bool:
         """Return whether a request that is complete may be handled."""
         return (
--- a/packages/http1/src/godwitflow/http1/callers.py
+++ b/packages/http1/src/godwitflow/http1/callers.py
@@ -24,6 +24,8 @@
 MAX_QUEUED_REQUESTS = 8
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 NO_ROOM_RETRY_S = 1.0
+# Very small chunks take long to parse, and others wait meanwhile.
+CHUNKED_READ_BYTES = 4_096
 MAX_UNSENT_BYTES = 16_384  # beyond it the next request has to wait
 
 
@@ -304,6 +306,8 @@
             return
         if length is not None or coding is not None:
             self._body = bytearray()
+        if coding is not None:
+            self.transport.bufferSize = CHUNKED_READ_BYTES
         expect = messages.find_header(self._headers, b"expect")
         if expect is not None and expect.lower() == b"100-continue":
             if self._exchange is None and not self._queue:
@@ -346,6 +350,7 @@
             + self._body_bytes
         )
         self._reset_message()
+        self.transport.bufferSize = MAX_UNSENT_BYTES
         capacity = self.server.capacity
         capacity.hold(self, sum(self._request_bytes))
         capacity.on_received(self, False)
--- a/packages/http1/tests/test_caller_capacity.py
+++ b/packages/http1/tests/test_caller_capacity.py
@@ -83,3 +83,16 @@
         self.assertTrue(stalled.evicted)
         for connection in (fresh, idle, serving):
             self.assertFalse(connection.evicted)
+
+    def test_too_many_incomplete_requests_delay_no_others(self):
+        self.capacity.limits = caller_capacity.CapacityLimits(
+            request_bytes=10_000_000, incomplete_requests=2
+        )
+        connections = [self.connect() for _ in range(3)]
+        for connection in connections:
+            connection.receive(LARGE_BYTES)
+        refused = [connection.refused for connection in connections]
+        self.assertEqual([True, False, False], refused)
+        small = self.connect()
+        small.receive(2_000)
+        self.assertFalse(small.refused)
--- a/packages/soak/src/godwitflow/soak/callers.py
+++ b/packages/soak/src/godwitflow/soak/callers.py
@@ -35,6 +35,7 @@
         nodes: typing.Callable[[], list[tuple[Endpoints, str]]],
         history: histories.History,
         configuration_number: typing.Callable[[], int],
+        response_timeout_s: float = RESPONSE_TIMEOUT_S,
     ) -> None:
         self.stopped = False
         self._reactor = reactor
@@ -44,6 +45,7 @@
         self._nodes = nodes
         self._history = history
         self._configuration_number = configuration_number
+        self._response_timeout_s = response_timeout_s
         self._request_count = 0
         self._addresses: list[str] = []
         self._addresses_expire_at_s = 0.0
@@ -158,11 +160,11 @@
             http_headers.Headers(headers),
             producer,
         )
-        requesting.addTimeout(RESPONSE_TIMEOUT_S, self._reactor)
+        requesting.addTimeout(self._response_timeout_s, self._reactor)
         try:
             response = await requesting
             reading = client.readBody(response)
-            reading.addTimeout(RESPONSE_TIMEOUT_S, self._reactor)
+            reading.addTimeout(self._response_timeout_s, self._reactor)
             record.response_body = await reading
         except Exception:
             record.status = 0
--- a/packages/soak/src/godwitflow/soak/crowd.py
+++ b/packages/soak/src/godwitflow/soak/crowd.py
@@ -40,6 +40,7 @@
 PIPELINED_HEADER_BYTES = 8_192
 AUTHORIZATION = f"Authorization: Token {fixtures.KEYS['north']}"
 POLL_S = 0.1
+ANSWER_TIMEOUT_S = 60.0  # for an answer that comes, however slow the machine
 MAX_POLLS = 100  # clients whose node stops reading do not settle
 
 app = cyclopts.App(help_format="markdown")
@@ -202,6 +203,7 @@
             self._deployment.current_processes,
             self._deployment.history,
             lambda: self._deployment.configuration_number,
+            ANSWER_TIMEOUT_S,
         )
 
     async def run(self) -> Report:
