Keep long calls in the domain when a short one is late

A long call left the domain as soon as a short one in flight was late by its own short expectation. It stays now until that call is late by the long one's expectation, too, as before.

--- a/packages/policy/src/godwitflow/policy/replica_choice.py
+++ b/packages/policy/src/godwitflow/policy/replica_choice.py
@@ -239,8 +239,9 @@
         ``slots`` is the number of calls that the upstream runs at the same
         time. This node takes at most ``STEADY_SLOTS_SHARE`` of them while
         there are other replicas, but always ``STEADY_MIN_CALLS``. A call
-        that has taken ``STEADY_CALL_WORKS`` times its expected work may be
-        the first one of a pause or an outage.
+        that has taken ``STEADY_CALL_WORKS`` times its expected work, and that
+        of the call to be made, may be the first one of a pause or an outage.
+        A long call does not leave the domain because a short one is late.
         """
         self._decay(now_ms)
         if self.degraded or now_ms < self.cold_until_ms:
@@ -250,7 +251,7 @@
         if self.oldest_call_at_ms is None:
             return True
         call_ms = now_ms - self.oldest_call_at_ms
-        expected_ms = self._oldest_call_work_ms(work_ms)
+        expected_ms = max(work_ms, self._oldest_call_work_ms(work_ms))
         return call_ms <= STEADY_CALL_WORKS * expected_ms
 
     def _oldest_call_work_ms(self, default_ms: float) -> float:
--- a/packages/policy/tests/test_replica_choice.py
+++ b/packages/policy/tests/test_replica_choice.py
@@ -142,6 +142,19 @@
         self.assertLess(self.share_near(25.0), 0.7)
         self.assertLess(self.share_near(80.0), 0.2)
 
+    def test_late_short_call_does_not_drive_long_ones_to_other_domains(self):
+        short = replica_choice.CallInFlight(0.0, 2.0)
+        self.near.calls[1] = short
+        self.near.in_flight = 1
+        self.near.oldest_call_at_ms = 0.0
+        self.assertEqual(1.0, self.share_near(15.0))
+
+    def test_long_call_in_flight_is_not_late_for_a_short_one(self):
+        self.near.calls[1] = replica_choice.CallInFlight(0.0, 60.0)
+        self.near.in_flight = 1
+        self.near.oldest_call_at_ms = 0.0
+        self.assertEqual(1.0, self.share_near(80.0))
+
     def test_replica_whose_slots_are_taken_shares_the_load(self):
         self.near.in_flight = 2
         self.near.oldest_call_at_ms = 0.0
