Do not let work estimates and slowness drift apart

Cause: a call's time was divided by its upstream's slowness before it was learned from, but the slowness is relative to the expected work, and a mean, which is above the median. So the ratio fell and the slowness rose with each call, until replicas of the own domain counted as degraded. In a test the ratio of alike requests fell to 0.34.

Times are not divided any more; calls to degraded upstreams teach nothing. test_work_learning failed before.

--- a/packages/policy/src/godwitflow/policy/work_estimates.py
+++ b/packages/policy/src/godwitflow/policy/work_estimates.py
@@ -4,9 +4,9 @@
 The estimate is the median time of the route's calls times a ratio, which is
 learned for the target, for the customer and for the size of the body. The
 most specific key with enough calls decides most: its ratio counts in
-proportion to its calls, and the rest comes from the next one. Times are
-divided by the upstream's own slowness first, or a slow upstream would make
-its requests look costly. An observation moves a ratio by a bounded step, as
+proportion to its calls, and the rest comes from the next one. Nothing is
+learned from calls to upstreams that are slow themselves. An observation
+moves a ratio by a bounded step, as
 pauses of upstreams and lost packets make single calls much longer.
 
 Memory is bounded: the keys used least recently are dropped.
@@ -20,6 +20,7 @@
 from godwitflow.model import ids
 
 MAX_KEYS = 4_096
+MIN_MEDIAN_MS = 0.01
 MIN_RATIO = 0.1
 MAX_RATIO = 20.0
 MIN_STEP = 0.08  # of the logarithm, for each call
@@ -107,14 +108,12 @@
         features: Features,
         elapsed_ms: float,
         median_ms: float,
-        slowness: float,
     ) -> None:
         """Learn from a call that took ``elapsed_ms``.
 
-        ``median_ms`` is the median of the route's calls, ``slowness`` how
-        many times longer than usual the upstream takes.
+        ``median_ms`` is the median of the route's calls.
         """
-        ratio = elapsed_ms / (max(median_ms, 0.01) * max(slowness, 0.1))
+        ratio = elapsed_ms / max(median_ms, MIN_MEDIAN_MS)
         ratio = min(MAX_RATIO, max(MIN_RATIO, ratio))
         for key in features.keys:
             known = self._ratios.get(key)
--- a/packages/tier/src/godwitflow/tier/subrequest.py
+++ b/packages/tier/src/godwitflow/tier/subrequest.py
@@ -384,7 +384,14 @@
         outcome: upstreams.Outcome,
         rejected: bool,
     ) -> None:
-        """Learn how much work the request was, if it was run."""
+        """Learn how much work the request was, if it was run.
+
+        A slow upstream says nothing of the request. Its slowness is not
+        divided out, as it is itself relative to the expected work: both
+        would drift away from each other.
+        """
+        if in_flight_call.upstream.health.degraded:
+            return
         match outcome:
             case upstreams.Replied(response) if (
                 not rejected and response.status < 500
@@ -393,7 +400,6 @@
                     self.outbound.features,
                     elapsed_ms,
                     self._latency.median.value,
-                    in_flight_call.upstream.health.latency_ratio,
                 )
 
     def _log_failure(
