Count late calls as work that is left

In an overload every call takes longer than expected, so all calls in flight counted a fifth of their work only, and the number of calls ahead hardly mattered. Seven tenths count now; the bar of MixedLoadTest holds.

--- a/packages/policy/src/godwitflow/policy/replica_choice.py
+++ b/packages/policy/src/godwitflow/policy/replica_choice.py
@@ -40,7 +40,8 @@
 STEADY_SLOTS_SHARE = 0.5
 STEADY_CALL_WORKS = 2.0
 OVERDUE_WORKS = 3.0
-MIN_LEFT_SHARE = 0.2
+# A call that is late waits for calls of other nodes, and may do so for long.
+MIN_LEFT_SHARE = 0.7
 ROOM_LATENCY_SHARE = 0.4
 EJECT_AFTER = 3
 EJECT_MS = 500.0
