Make room for a large request without recursion

A refused request frees its bytes, and freeing looked for room once more, so each refusal was nested in the one before. A large request that took the place of some two hundred small ones exceeded the interpreter's recursion limit, and was not handled though there was room for it.

Room is made in one loop now. The new test of test_callers failed before: the large request was not handled. After: all of http1's tests pass.

--- a/packages/http1/src/godwitflow/http1/caller_capacity.py
+++ b/packages/http1/src/godwitflow/http1/caller_capacity.py
@@ -60,6 +60,7 @@
         self.held_bytes = 0
         self.refused_count = 0
         self.evicted_count = 0
+        self._making_room = False
         self._connections: set[Connection] = set()
         # Incomplete requests that are not small, the oldest first.
         self._receiving: dict[Connection, None] = {}
@@ -90,8 +91,14 @@
             self._receiving.pop(connection, None)
         else:
             self._receiving.setdefault(connection)
-        while self._receiving and self._is_full():
-            self._refuse(next(iter(self._receiving)))
+        if self._making_room:
+            return  # a refused request that frees its bytes ends up here
+        self._making_room = True
+        try:
+            while self._receiving and self._is_full():
+                self._refuse(next(iter(self._receiving)))
+        finally:
+            self._making_room = False
 
     def _is_full(self) -> bool:
         return (
--- a/packages/http1/tests/test_callers.py
+++ b/packages/http1/tests/test_callers.py
@@ -346,3 +346,15 @@
             + b"x" * 14_000
         )
         self.assertTrue(unread.transport.aborted)
+
+    def test_many_small_requests_make_room_for_a_large_one(self):
+        self.server.capacity.limits = caller_capacity.CapacityLimits(
+            request_bytes=1_600_000
+        )
+        head = b"POST /x HTTP/1.1\r\nContent-Length: %d\r\n\r\n"
+        waiting = [self.send(head % 6_000 + b"x" * 5_000) for _ in range(255)]
+        large = self.send(head % 1_500_000 + b"x" * 1_500_000)
+        self.assertEqual(1, len(self.server.exchanges))
+        self.assertFalse(large.transport.written)
+        for connection in waiting[:230]:
+            self.assertIn(b" 503 ", connection.transport.written)
