Simplify how quotas answer, and say what the gate does in plain terms

Found by reading the change again: an assertion that only told the type checker what its caller knew, a parenthesis around one name, two tests that built the same connection, and a doc comment in figurative words.

--- a/packages/http1/tests/test_upstreams.py
+++ b/packages/http1/tests/test_upstreams.py
@@ -309,27 +309,25 @@
 
 
 class LargeBodyTest(unittest.TestCase):
-    def test_large_body_is_not_copied_for_each_upstream_at_once(self):
-        body = bytes(range(256)) * 400
-        transport = transports.Transport()
+    BODY = bytes(range(256)) * 400
+
+    def setUp(self):
+        self.transport = transports.Transport()
         connection = upstreams.UpstreamConnection(RecordingOwner())
-        connection.send(upstreams.Call(b"head", b"1", False, print, body))
-        connection.makeConnection(transport)
-        while transport.producer is not None:
-            transport.producer.resumeProducing()
+        connection.send(upstreams.Call(b"head", b"1", False, print, self.BODY))
+        connection.makeConnection(self.transport)
+
+    def test_large_body_is_not_copied_for_each_upstream_at_once(self):
+        while self.transport.producer is not None:
+            self.transport.producer.resumeProducing()
             self.assertLessEqual(
-                len(transport.take()), upstreams.BODY_SLICE_BYTES + 4
+                len(self.transport.take()), upstreams.BODY_SLICE_BYTES + 4
             )
 
     def test_large_body_is_sent_whole(self):
-        body = bytes(range(256)) * 400
-        transport = transports.Transport()
-        connection = upstreams.UpstreamConnection(RecordingOwner())
-        connection.send(upstreams.Call(b"head", b"1", False, print, body))
-        connection.makeConnection(transport)
-        while transport.producer is not None:
-            transport.producer.resumeProducing()
-        self.assertEqual(b"head" + body, transport.written)
+        while self.transport.producer is not None:
+            self.transport.producer.resumeProducing()
+        self.assertEqual(b"head" + self.BODY, self.transport.written)
 
 
 def without_id(response):
--- a/packages/tier/src/godwitflow/tier/customer_gate.py
+++ b/packages/tier/src/godwitflow/tier/customer_gate.py
@@ -15,7 +15,7 @@
 
 
 class CustomerGate:
-    """Who asks, and whether he may.
+    """Identifies customers, and admits or rejects their requests.
 
     Without ``quotas``, no request is limited. ``replaced_headers`` are the
     headers that callers must not set, and keys that upstreams must not see.
--- a/packages/tier/src/godwitflow/tier/quotas.py
+++ b/packages/tier/src/godwitflow/tier/quotas.py
@@ -127,28 +127,22 @@
         self, customer: customers.Customer, on_admission: OnAdmission
     ) -> None:
         """Call ``on_admission`` once, now or later, with the decision."""
-        quota = self._customers.get(customer.name)
-        if customer.quota is None or quota is None:
+        if customer.quota is None:
             on_admission(Admitted())
             return
+        quota = self._customers.setdefault(customer.name, policy.NodeQuota())
         now_ms = self._now_ms()
         if quota.take(now_ms):
             on_admission(Admitted())
             self._ask(customer, None, 1)
         elif now_ms < quota.denied_until_ms:
-            on_admission(
-                self._over_quota(customer, quota.denied_until_ms - now_ms)
-            )
+            wait_ms = quota.denied_until_ms - now_ms
+            on_admission(self._over_quota(customer.quota, wait_ms))
         else:
             self._ask(customer, on_admission, 1)
 
-    def _over_quota(
-        self, customer: customers.Customer, wait_ms: float
-    ) -> OverQuota:
-        assert customer.quota is not None
-        return OverQuota(
-            policy.return_after_s(wait_ms, customer.quota, self._random)
-        )
+    def _over_quota(self, quota: customers.Quota, wait_ms: float) -> OverQuota:
+        return OverQuota(policy.return_after_s(wait_ms, quota, self._random))
 
     def _ask(
         self,
@@ -278,11 +272,11 @@
             self._ask_again(pending)
         elif pending.role is permits.Role.STANDBY:
             pending.on_admission(Unverified(answer.wait_ms / MS_PER_S))
-        else:
+        elif pending.customer.quota is not None:
             if quota is not None:
                 quota.denied_until_ms = now_ms + answer.wait_ms
             pending.on_admission(
-                self._over_quota(pending.customer, answer.wait_ms)
+                self._over_quota(pending.customer.quota, answer.wait_ms)
             )
 
     # Issuing ------------------------------------------------------------
@@ -291,9 +285,9 @@
         self, sender: ids.NodeId, message: messages.QuotaRequest
     ) -> None:
         """Decide on the requests that a peer asks for, and reply."""
-        role = (
-            permits.Role.STANDBY if message.standby else (permits.Role.PRIMARY)
-        )
+        role = permits.Role.PRIMARY
+        if message.standby:
+            role = permits.Role.STANDBY
         answers = tuple(
             self.issuing.decide(sender, want, role) for want in message.wants
         )
