Follow a store that was restored from a backup

Upstreams that reported that they drain went on getting requests.

Cause: copies, the configuration and the registry are ordered by the store's revision number, and a restored store gives numbers out again in the next era. Each watch failed with 410, the list that followed was dropped as older, without a log line and without a pause.

Change: a revision is an era and a number, in copies, announcements and fetches. An answer of another era is not continued but listed again, and every node logs store_restored, with its source. What a backup holds may be out of date: versions, draining and removed upstreams, evacuations and members are treated so that nothing that was confirmed is undone. An older list without a new era is an error with a pause.

--- a/packages/policy/src/godwitflow/policy/routing.py
+++ b/packages/policy/src/godwitflow/policy/routing.py
@@ -11,6 +11,7 @@
 
 from godwitflow.model import ids
 from godwitflow.policy import customers as customer_keys
+from godwitflow.store import objects
 
 URGENT_RANK = ids.Rank(0)
 
@@ -114,11 +115,14 @@
 class Configuration:
     """The complete configuration; ``revision`` is the store's.
 
+    The operator numbers configurations; a later one has a higher
+    ``version``, whatever the store lost in between.
+
     Without ``customers``, None, requests carry no keys; with an empty
     tuple, no key is known.
     """
 
-    revision: int
+    revision: objects.Revision
     version: int
     routes: tuple[Route, ...]
     services: dict[ids.ServiceName, Service]
--- a/packages/policy/src/godwitflow/policy/store_copy.py
+++ b/packages/policy/src/godwitflow/policy/store_copy.py
@@ -1,7 +1,10 @@
 """A node's copy of the store's objects of one kind.
 
 Every delta carries the store's revision, and a copy never moves to an
-older one. It keeps a log of the latest changes, so that a peer that is a
+older one. When the store was restored from a backup, a full delta of the
+next era replaces the copy, although its revision number may be lower.
+
+A copy keeps a log of the latest changes, so that a peer that is a
 few revisions behind can be sent only those.
 """
 
@@ -21,36 +24,46 @@
     """
 
     kind: str
-    after: int
-    revision: int
+    after: objects.Revision
+    revision: objects.Revision
     full: bool
     changes: tuple[objects.Change, ...]
 
 
 class StoreCopy:
-    """Objects of one kind at ``revision``, 0 until a full delta is applied."""
+    """Objects of one kind at ``revision``.
+
+    It is empty, at ``NO_REVISION``, until a full delta is applied.
+    """
 
     def __init__(self, kind: str) -> None:
         self.kind = kind
-        self.revision = 0
+        self.revision = objects.NO_REVISION
         self.objects: dict[str, objects.Object] = {}
         self._change_log: collections.deque[objects.Change] = (
             collections.deque(maxlen=MAX_LOGGED_CHANGES)
         )
-        self._log_start_revision = 0
+        self._log_start_revision = objects.NO_REVISION
+
+    @property
+    def empty(self) -> bool:
+        """Whether no full delta has been applied yet."""
+        return self.revision == objects.NO_REVISION
 
     def apply(self, delta: Delta) -> list[objects.Change]:
         """Apply a delta and return the changes that were new.
 
         Returns an empty list if the delta is not newer than the copy, or
-        if it starts after the copy's revision: applying it would leave a
-        gap, and the caller has to ask for one that starts earlier.
+        if it starts after the copy's revision or in another era: applying
+        it would leave a gap, and the caller has to ask for one that starts
+        earlier.
         """
         if delta.revision <= self.revision:
             return []
         if delta.full:
             return self._replace_all(delta)
-        if delta.after > self.revision:
+        other_era = delta.revision.era != self.revision.era
+        if other_era or delta.after > self.revision:
             return []
         new_changes = [
             change
@@ -93,14 +106,15 @@
         self.revision = delta.revision
         return new_changes
 
-    def delta_after(self, after: int) -> Delta:
+    def delta_after(self, after: objects.Revision) -> Delta:
         """Return the delta that brings a peer from ``after`` up to date.
 
         It holds only the last change of each object, so that a peer that
         is far behind during frequent changes gets each object once. It is
         a full delta if the log does not reach back to ``after``.
         """
-        if self._log_start_revision <= after <= self.revision and after > 0:
+        logged = self._log_start_revision <= after <= self.revision
+        if logged and after > objects.NO_REVISION:
             latest = {
                 change.object.name: change
                 for change in self._change_log
@@ -115,4 +129,6 @@
         all_objects = tuple(
             objects.Change(current, False) for current in self.objects.values()
         )
-        return Delta(self.kind, 0, self.revision, True, all_objects)
+        return Delta(
+            self.kind, objects.NO_REVISION, self.revision, True, all_objects
+        )
--- a/packages/policy/tests/test_store_copy.py
+++ b/packages/policy/tests/test_store_copy.py
@@ -9,14 +9,21 @@
 from godwitflow.store import objects
 
 
-def put(name, revision):
+ERA = 1
+
+
+def at(number, era=ERA):
+    return objects.Revision(era, number)
+
+
+def put(name, number, era=ERA):
     return objects.Change(
-        objects.Object(name, revision, {"r": revision}), False
+        objects.Object(name, at(number, era), {"r": number}), False
     )
 
 
-def removal(name, revision):
-    return objects.Change(objects.Object(name, revision, None), True)
+def removal(name, number):
+    return objects.Change(objects.Object(name, at(number), None), True)
 
 
 HISTORY = [
@@ -41,21 +48,27 @@
     return state
 
 
-def full_delta(revision):
+def full_delta(number):
     changes = tuple(
         objects.Change(item, False)
-        for item in expected_objects(revision).values()
+        for item in expected_objects(at(number)).values()
     )
-    return store_copy.Delta("k", 0, revision, True, changes)
+    return store_copy.Delta("k", at(0), at(number), True, changes)
 
 
-def partial_delta(after, revision):
+def partial_delta(after, number):
     changes = tuple(
         change
         for change in HISTORY
-        if after < change.object.revision <= revision
+        if at(after) < change.object.revision <= at(number)
+    )
+    return store_copy.Delta("k", at(after), at(number), False, changes)
+
+
+def one_change(number, name):
+    return store_copy.Delta(
+        "k", at(number - 1), at(number), False, (put(name, number),)
     )
-    return store_copy.Delta("k", after, revision, False, changes)
 
 
 class StoreCopyTest(unittest.TestCase):
@@ -69,7 +82,7 @@
         ]
         for order in itertools.permutations(deltas):
             copy = store_copy.StoreCopy("k")
-            last = 0
+            last = objects.NO_REVISION
             for delta in order:
                 copy.apply(delta)
                 self.assertGreaterEqual(copy.revision, last)
@@ -83,15 +96,15 @@
         peers = [store_copy.StoreCopy("k") for _ in range(4)]
         peers[0].apply(full_delta(1))
         for step in range(200):
-            if step % 10 == 0 and peers[0].revision < 7:
-                current = peers[0].revision
+            if step % 10 == 0 and peers[0].revision < at(7):
+                current = peers[0].revision.number
                 peers[0].apply(partial_delta(current, current + 1))
             sender, receiver = rng.sample(peers, 2)
-            if sender.revision:
+            if not sender.empty:
                 receiver.apply(sender.delta_after(receiver.revision))
             for peer in peers:
                 self.assertEqual(expected_objects(peer.revision), peer.objects)
-        self.assertEqual([7] * 4, [peer.revision for peer in peers])
+        self.assertEqual([at(7)] * 4, [peer.revision for peer in peers])
 
     def test_full_delta_reports_missing_objects_as_removed(self):
         copy = store_copy.StoreCopy("k")
@@ -105,34 +118,70 @@
         copy.apply(full_delta(1))
         for revision in range(2, 30):
             name = "z" if revision % 2 else "y"
-            copy.apply(
-                store_copy.Delta(
-                    "k", revision - 1, revision, False, (put(name, revision),)
-                )
-            )
-        delta = copy.delta_after(10)
+            copy.apply(one_change(revision, name))
+        delta = copy.delta_after(at(10))
         found = [
-            (change.object.name, change.object.revision)
+            (change.object.name, change.object.revision.number)
             for change in delta.changes
         ]
         self.assertEqual([("y", 28), ("z", 29)], found)
-        self.assertEqual(29, delta.revision)
+        self.assertEqual(at(29), delta.revision)
         peer = store_copy.StoreCopy("k")
         peer.apply(full_delta(10))
         self.assertEqual(2, len(peer.apply(delta)))
-        self.assertEqual(29, peer.revision)
+        self.assertEqual(at(29), peer.revision)
 
     def test_peer_behind_the_change_log_gets_a_full_delta(self):
         copy = store_copy.StoreCopy("k")
         copy.apply(full_delta(1))
         for revision in range(2, store_copy.MAX_LOGGED_CHANGES + 10):
-            copy.apply(
-                store_copy.Delta(
-                    "k", revision - 1, revision, False, (put("z", revision),)
-                )
-            )
-        self.assertTrue(copy.delta_after(1).full)
-        self.assertFalse(copy.delta_after(copy.revision - 5).full)
+            copy.apply(one_change(revision, "z"))
+        self.assertTrue(copy.delta_after(at(1)).full)
+        recent = copy.revision.number - 5
+        self.assertFalse(copy.delta_after(at(recent)).full)
+
+
+class RestoredStoreTest(unittest.TestCase):
+    """A store came back from a backup with lower revision numbers."""
+
+    def setUp(self):
+        self.copy = store_copy.StoreCopy("k")
+        self.copy.apply(full_delta(7))
+
+    def restored(self, number, *changes):
+        revision = at(number, ERA + 1)
+        return store_copy.Delta("k", at(0), revision, True, changes)
+
+    def test_lower_revision_of_the_next_era_replaces_the_copy(self):
+        changes = self.copy.apply(
+            self.restored(4, put("a", 3, ERA + 1), put("d", 4, ERA + 1))
+        )
+        self.assertEqual(at(4, ERA + 1), self.copy.revision)
+        self.assertEqual({"a", "d"}, set(self.copy.objects))
+        self.assertEqual(
+            [("a", False), ("b", True), ("c", True), ("d", False)],
+            sorted((change.object.name, change.removed) for change in changes),
+        )
+
+    def test_copy_does_not_go_back_to_the_earlier_era(self):
+        self.copy.apply(self.restored(4))
+        self.assertEqual([], self.copy.apply(full_delta(7)))
+        self.assertEqual({}, self.copy.objects)
+
+    def test_changes_of_another_era_are_not_applied_to_the_copy(self):
+        # Their numbers follow the copy's, but what came between is lost.
+        self.copy.apply(full_delta(7))
+        change = put("e", 8, ERA + 1)
+        delta = store_copy.Delta(
+            "k", at(7, ERA + 1), at(8, ERA + 1), False, (change,)
+        )
+        self.assertEqual([], self.copy.apply(delta))
+        self.assertEqual(at(7), self.copy.revision)
+
+    def test_peer_of_the_earlier_era_gets_a_full_delta(self):
+        self.copy.apply(self.restored(9, put("a", 3, ERA + 1)))
+        self.assertTrue(self.copy.delta_after(at(7)).full)
+        self.assertFalse(self.copy.delta_after(at(9, ERA + 1)).full)
 
 
 class StoreWatchTest(unittest.TestCase):
--- a/packages/store/src/godwitflow/store/memory_object_store.py
+++ b/packages/store/src/godwitflow/store/memory_object_store.py
@@ -1,6 +1,7 @@
 """An object store in memory for tests, with watches and injected failures."""
 
 import collections
+import dataclasses
 import typing
 
 from twisted.internet import defer
@@ -13,6 +14,14 @@
 CALL_TIMEOUT_MS = 1_500.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Backup:
+    """All objects of a store, by kind and name, as of a revision number."""
+
+    number: int
+    kinds: dict[str, dict[str, objects.Object]]
+
+
 class MemoryObjectStore:
     """Objects and their history; :meth:`client_for` returns an ObjectStore.
 
@@ -24,14 +33,15 @@
 
     def __init__(self, clock: typing.Any) -> None:
         self.clock = clock
-        self.revision = 1
+        self.revision = objects.Revision(1, 1)
         self.calls_by_client: collections.Counter[str] = collections.Counter()
         self.should_reject: typing.Callable[[str], bool] = lambda client: False
         self.is_silent_to: typing.Callable[[str], bool] = lambda client: False
         self.connection_generation = 0
         self._kinds: dict[str, dict[str, objects.Object]] = {}
         self._history: list[tuple[str, objects.Change]] = []
-        self._history_after = 0  # changes up to here have been dropped
+        # Changes up to here have been dropped.
+        self._history_after = self.revision
         self._waiters: list[defer.Deferred[None]] = []
 
     def client_for(self, client: str) -> "MemoryObjectClient":
@@ -47,6 +57,32 @@
         """Never answer the calls that now wait; answer later ones."""
         self.connection_generation += 1
 
+    def _count_change(self) -> None:
+        era, number = self.revision
+        self.revision = objects.Revision(era, number + 1)
+
+    def backup(self) -> "Backup":
+        """Return a copy of all objects."""
+        kinds = {kind: dict(named) for kind, named in self._kinds.items()}
+        return Backup(self.revision.number, kinds)
+
+    def restore(self, backup: "Backup") -> None:
+        """Continue from a backup, in the next era and without a history."""
+        era = self.revision.era + 1
+        self.revision = objects.Revision(era, backup.number)
+        self._kinds = {
+            kind: {
+                name: dataclasses.replace(
+                    stored,
+                    revision=objects.Revision(era, stored.revision.number),
+                )
+                for name, stored in named.items()
+            }
+            for kind, named in backup.kinds.items()
+        }
+        self.drop_history()
+        self._wake_waiters()
+
     def drop_history(self) -> None:
         """Drop the history, so that watches from older revisions fail."""
         self._history.clear()
@@ -56,7 +92,7 @@
         self, kind: str, name: str, spec: objects.Spec | None
     ) -> objects.Object:
         """Create or replace an object directly, without a client."""
-        self.revision += 1
+        self._count_change()
         written = objects.Object(name, self.revision, spec)
         self._kinds.setdefault(kind, {})[name] = written
         self._record(kind, objects.Change(written, False))
@@ -67,12 +103,15 @@
         stored = self._kinds.get(kind, {}).pop(name, None)
         if stored is None:
             raise errors.ObjectNotFoundError(name)
-        self.revision += 1
+        self._count_change()
         removed = objects.Object(name, self.revision, None)
         self._record(kind, objects.Change(removed, True))
 
     def _record(self, kind: str, change: objects.Change) -> None:
         self._history.append((kind, change))
+        self._wake_waiters()
+
+    def _wake_waiters(self) -> None:
         waiters, self._waiters = self._waiters, []
         for waiter in waiters:
             waiter.callback(None)
@@ -82,12 +121,13 @@
         by_name = self._kinds.get(kind, {})
         return objects.Listing(tuple(by_name.values()), self.revision)
 
-    def changes(self, kind: str, after: int) -> objects.Changes:
+    def changes(self, kind: str, after: objects.Revision) -> objects.Changes:
         """Return the changes after a revision.
 
-        Raises StoreHistoryGoneError if some of them have been dropped.
+        Raises StoreHistoryGoneError if some of them have been dropped, or
+        if the revision is of another era.
         """
-        if after < self._history_after:
+        if after < self._history_after or after > self.revision:
             raise errors.StoreHistoryGoneError(f"after {after}")
         changes = tuple(
             change
@@ -151,7 +191,7 @@
         return self._store.listing(kind)
 
     async def watch(
-        self, kind: str, after_revision: int, wait_ms: float
+        self, kind: str, after_revision: objects.Revision, wait_ms: float
     ) -> objects.Changes:
         """Return the changes after a revision, waiting up to ``wait_ms``."""
         self._begin_call()
--- a/packages/store/src/godwitflow/store/objects.py
+++ b/packages/store/src/godwitflow/store/objects.py
@@ -1,8 +1,8 @@
 """Interface of the object store: objects by kind and name.
 
-A revision counter of the whole store orders all changes. Reads are
-linearizable unless stale reads are allowed, which are cheaper. Errors
-are those of :mod:`godwitflow.store.versioned_store`;
+Revisions of the whole store order all changes. Reads are linearizable
+unless stale reads are allowed, which are cheaper. Errors are those of
+:mod:`godwitflow.store.versioned_store`;
 :class:`godwitflow.model.errors.StoreHistoryGoneError` is raised for a
 watch from a revision after which changes have been discarded.
 """
@@ -13,12 +13,31 @@
 Spec = dict[str, typing.Any]
 
 
+class Revision(typing.NamedTuple):
+    """A point in the history of the whole store.
+
+    The store counts its changes in ``number``. When it is restored from a
+    backup, it continues from the backup's number and begins the next
+    ``era``: changes after the backup are lost and their numbers are given
+    out again, so numbers of different eras cannot be compared.
+
+    >>> Revision(1, 114) < Revision(2, 111) < Revision(2, 112)
+    True
+    """
+
+    era: int
+    number: int
+
+
+NO_REVISION = Revision(0, 0)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Object:
     """A stored object; ``spec`` is None if it could not be decoded."""
 
     name: str
-    revision: int
+    revision: Revision
     spec: Spec | None
 
 
@@ -27,7 +46,7 @@
     """All objects of a kind, as of a revision."""
 
     objects: tuple[Object, ...]
-    revision: int
+    revision: Revision
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -43,7 +62,7 @@
     """The result of a watch; the next watch continues after ``revision``."""
 
     changes: tuple[Change, ...]
-    revision: int
+    revision: Revision
 
 
 class ObjectStore(typing.Protocol):
@@ -54,11 +73,12 @@
         ...
 
     async def watch(
-        self, kind: str, after_revision: int, wait_ms: float
+        self, kind: str, after_revision: Revision, wait_ms: float
     ) -> Changes:
         """Return the changes after a revision, waiting up to ``wait_ms``.
 
-        Raises StoreHistoryGoneError if some of them have been discarded.
+        Raises StoreHistoryGoneError if some of them have been discarded, or
+        if the store is in another era.
         """
         ...
 
--- a/packages/tier/src/godwitflow/tier/cluster_state.py
+++ b/packages/tier/src/godwitflow/tier/cluster_state.py
@@ -11,6 +11,7 @@
 from godwitflow.policy import routing
 from godwitflow.store import objects
 from godwitflow.tier import log as logs
+from godwitflow.tier import metrics
 
 MS_PER_S = 1_000.0
 EXPIRY_MARGIN_S = 0.05
@@ -65,6 +66,7 @@
     ) -> None:
         self.configuration: routing.Configuration | None = None
         self.registry = registrations.Registry()
+        self._expiry_call: typing.Any = None
         self._reactor = reactor
         self._decoder = decoder
         self._now_ms = now_ms
@@ -72,7 +74,8 @@
         self._on_configuration = on_configuration
         self._on_registrations = on_registrations
         self._on_evacuations = on_evacuations
-        self._evacuated: set[ids.FailureDomain] = set()
+        # The revision at which each evacuation was written.
+        self._evacuated: dict[ids.FailureDomain, objects.Revision] = {}
 
     @property
     def kinds(self) -> tuple[str, ...]:
@@ -83,6 +86,16 @@
             return kinds
         return (*kinds, decoder.evacuation_kind)
 
+    def lines(self) -> list[str]:
+        """Return the metrics of the configuration as lines of text."""
+        if self.configuration is None:
+            return []
+        return [
+            metrics.gauge_line(
+                "configuration_version", self.configuration.version
+            )
+        ]
+
     def on_changes(
         self, kind: str, changes: list[objects.Change], after_outage: bool
     ) -> None:
@@ -97,12 +110,16 @@
                 if not change.removed:
                     self._apply_configuration(change.object)
         elif kind == self._decoder.evacuation_kind:
-            self._apply_evacuations(changes)
+            self._apply_evacuations(changes, after_outage)
         else:
             self._apply_registrations(changes, after_outage)
 
     def _apply_configuration(self, stored: objects.Object) -> None:
-        """Apply a configuration if it is valid and newer than the current."""
+        """Apply a configuration if it is valid and newer than the current.
+
+        A store that was restored from a backup may hold a version that the
+        operator has replaced since.
+        """
         if stored.name != self._decoder.configuration_name:
             return
         current = self.configuration
@@ -113,32 +130,82 @@
         except Exception as error:  # whatever the operator's writer stored
             self._log.event(
                 "configuration_refused",
-                revision=stored.revision,
+                era=stored.revision.era,
+                revision=stored.revision.number,
                 problems=str(error),
             )
             return
+        if current is not None and _is_replaced(configuration, current):
+            self._log.event(
+                "configuration_outdated",
+                era=configuration.revision.era,
+                revision=configuration.revision.number,
+                version=configuration.version,
+                version_in_force=current.version,
+            )
+            return
         self.configuration = configuration
         self._log.event(
             "configuration_in_force",
-            revision=configuration.revision,
+            era=configuration.revision.era,
+            revision=configuration.revision.number,
             version=configuration.version,
             routes=len(configuration.routes),
         )
         self._on_configuration(configuration)
 
-    def _apply_evacuations(self, changes: list[objects.Change]) -> None:
-        """Apply evacuations; the name of each is the failure domain."""
+    def _apply_evacuations(
+        self, changes: list[objects.Change], after_outage: bool
+    ) -> None:
+        """Apply evacuations; the name of each is the failure domain.
+
+        One that was removed during an outage may be lost with a restored
+        store; the operator can write it again within the grace period.
+        """
         for change in changes:
             domain = ids.FailureDomain(change.object.name)
-            self._log.event(
-                "evacuation_ended" if change.removed else "evacuation",
-                failure_domain=domain,
-                revision=change.object.revision,
-            )
-            if change.removed:
-                self._evacuated.discard(domain)
+            revision = change.object.revision
+            if not change.removed:
+                self._log.event(
+                    "evacuation",
+                    failure_domain=domain,
+                    era=revision.era,
+                    revision=revision.number,
+                )
+                self._evacuated[domain] = revision
+            elif after_outage:
+                self._reactor.callLater(
+                    registrations.REMOVAL_GRACE_MS / MS_PER_S,
+                    self._end_evacuation_late,
+                    domain,
+                    revision,
+                )
             else:
-                self._evacuated.add(domain)
+                self._end_evacuation(domain, revision)
+        self._report_evacuations()
+
+    def _end_evacuation(
+        self, domain: ids.FailureDomain, revision: objects.Revision
+    ) -> None:
+        """End an evacuation that was removed, unless it was written again."""
+        written = self._evacuated.get(domain)
+        if written is None or written > revision:
+            return
+        del self._evacuated[domain]
+        self._log.event(
+            "evacuation_ended",
+            failure_domain=domain,
+            era=revision.era,
+            revision=revision.number,
+        )
+
+    def _end_evacuation_late(
+        self, domain: ids.FailureDomain, revision: objects.Revision
+    ) -> None:
+        self._end_evacuation(domain, revision)
+        self._report_evacuations()
+
+    def _report_evacuations(self) -> None:
         if self._on_evacuations is not None:
             self._on_evacuations(frozenset(self._evacuated))
 
@@ -149,18 +216,24 @@
         for change in changes:
             name = ids.UpstreamId(change.object.name)
             if not change.removed:
-                self.registry.put(self._decode_entry(change.object))
+                self.registry.put(self._decode_entry(change.object), now_ms)
             elif after_outage:
                 self.registry.remove_after_grace(
                     name, change.object.revision, now_ms
                 )
             else:
-                self.registry.remove(name, change.object.revision)
+                self.registry.remove(name, change.object.revision, now_ms)
         self._on_registrations(self.registry.ready())
-        if after_outage:
-            wait_s = registrations.REMOVAL_GRACE_MS / MS_PER_S
-            self._reactor.callLater(
-                wait_s + EXPIRY_MARGIN_S, self._expire_removed
+        self._schedule_expiry(now_ms)
+
+    def _schedule_expiry(self, now_ms: float) -> None:
+        """Expire entries of the registry when the next one is due."""
+        if self._expiry_call is not None and self._expiry_call.active():
+            self._expiry_call.cancel()
+        wait_ms = self.registry.next_expiry_in_ms(now_ms)
+        if wait_ms is not None:
+            self._expiry_call = self._reactor.callLater(
+                wait_ms / MS_PER_S + EXPIRY_MARGIN_S, self._expire
             )
 
     def _decode_entry(self, stored: objects.Object) -> registrations.Entry:
@@ -174,13 +247,27 @@
             self._log.limited_event(
                 "registration_unusable",
                 upstream=stored.name,
-                revision=stored.revision,
+                era=stored.revision.era,
+                revision=stored.revision.number,
                 error=error,
             )
         return registrations.Entry(
             ids.UpstreamId(stored.name), stored.revision, registration
         )
 
-    def _expire_removed(self) -> None:
-        if self.registry.expire(self._now_ms()):
+    def _expire(self) -> None:
+        now_ms = self._now_ms()
+        if self.registry.expire(now_ms):
             self._on_registrations(self.registry.ready())
+        self._schedule_expiry(now_ms)
+
+
+def _is_replaced(
+    configuration: routing.Configuration, current: routing.Configuration
+) -> bool:
+    """Return whether a restored store holds an older version.
+
+    Within an era the store itself orders what the operator writes.
+    """
+    restored = configuration.revision.era > current.revision.era
+    return restored and configuration.version < current.version
--- a/packages/tier/src/godwitflow/tier/follower.py
+++ b/packages/tier/src/godwitflow/tier/follower.py
@@ -59,12 +59,16 @@
         """Process changes that were applied to a copy."""
         ...
 
+    def on_store_restored(self, era: int) -> None:
+        """Process that the store was restored from a backup."""
+        ...
+
     def relay(self) -> None:
         """Announce to peers that the store was recently reached."""
         ...
 
     async def fetch(
-        self, inner_address: str, kind: str, after: int
+        self, inner_address: str, kind: str, after: objects.Revision
     ) -> store_copy.Delta:
         """Fetch a peer's changes after a revision."""
         ...
@@ -92,7 +96,7 @@
             first_list_at_ms - store_watch.WATCHER_TIMEOUT_MS
         )
         # The store has no change between the copy's revision and this one.
-        self._watched_revision = 0
+        self._watched_revision = objects.NO_REVISION
         self._revision_advanced_at_ms = first_list_at_ms
         # When the copy was last known to be up to date.
         self._confirmed_at_ms = first_list_at_ms
@@ -100,6 +104,7 @@
         self._backoff_ms = BACKOFF_MIN_MS
         self._next_attempt_ms = 0.0
         self._store_lost = False
+        self._history_gone = False
         self._fetching = False
 
     # The store ----------------------------------------------------------
@@ -114,16 +119,16 @@
                 self._log_start_of_watch()
             if not watching:
                 self.in_sync = False
-                has_copy = self.copy.revision > 0
                 await self._sleep(
-                    IDLE_POLL_MS if has_copy else STARTUP_POLL_MS
+                    STARTUP_POLL_MS if self.copy.empty else IDLE_POLL_MS
                 )
                 continue
             try:
                 await self._list_or_watch()
+                self._history_gone = False
                 self._on_store_reached()
             except errors.StoreHistoryGoneError:
-                await self._try_list()
+                await self._list_again()
             except errors.StoreError as error:
                 self._on_store_error(error)
             except Exception as error:
@@ -135,7 +140,8 @@
             "store_watch_started",
             kind=self._kind,
             rank=self._context.own_rank(),
-            revision=self.copy.revision,
+            era=self.copy.revision.era,
+            revision=self.copy.revision.number,
             others_silent_ms=round(silent_ms, 1),
         )
 
@@ -143,7 +149,7 @@
         now_ms = self._context.now_ms()
         if now_ms < self._next_attempt_ms:
             return False
-        if self.copy.revision == 0:
+        if self.copy.empty:
             return now_ms >= self._first_list_at_ms
         behind_ms = 0.0
         if self._behind_since_ms is not None:
@@ -156,7 +162,7 @@
         )
 
     async def _list_or_watch(self) -> None:
-        if self.copy.revision == 0:
+        if self.copy.empty:
             await self._list()
         else:
             await self._watch()
@@ -180,7 +186,7 @@
                 False,
                 watched.changes,
             )
-            self._apply(delta, from_store=True)
+            self._apply(delta)
         self._watched_revision = watched.revision
         if watched.changes:
             await self._sleep(BATCH_DELAY_MS)
@@ -194,37 +200,76 @@
             self._others_reached_at_ms,
         )
 
-    async def _try_list(self) -> None:
+    async def _list_again(self) -> None:
+        """List the store, as it cannot tell what has changed.
+
+        If it cannot tell after that list either, the next call has to wait.
+        """
+        again, self._history_gone = self._history_gone, True
         try:
             await self._list()
             self._on_store_reached()
         except errors.StoreError as error:
             self._on_store_error(error)
+            return
+        if again:
+            self._back_off()
 
     async def _list(self) -> None:
+        """List the store and replace the copy.
+
+        Raises StoreUnavailableError if the list is older than the copy was:
+        the store has lost changes, but its era does not say so.
+        """
+        copied_revision = self.copy.revision
         listing = await self._context.store.list(self._kind)
+        if listing.revision < copied_revision:
+            raise errors.StoreUnavailableError(
+                f"{self._kind}: the list at {listing.revision} is older than"
+                f" the copy at {copied_revision}"
+            )
         changes = tuple(
             objects.Change(listed, False) for listed in listing.objects
         )
         delta = store_copy.Delta(
-            self._kind, 0, listing.revision, True, changes
+            self._kind, objects.NO_REVISION, listing.revision, True, changes
         )
         self._reached_at_ms = self._context.now_ms()
-        self._apply(delta, from_store=True)
+        self._apply(delta)
 
-    def _apply(self, delta: store_copy.Delta, from_store: bool) -> None:
+    def _apply(self, delta: store_copy.Delta, peer: str | None = None) -> None:
+        """Apply a delta of the store, or of a peer's copy."""
         unconfirmed_ms = self._context.now_ms() - self._confirmed_at_ms
-        after_outage = (
-            self.copy.revision > 0 and unconfirmed_ms > OUTAGE_AFTER_MS
-        )
-        if from_store and not after_outage:
+        previous = self.copy.revision
+        first = self.copy.empty
+        after_outage = not first and unconfirmed_ms > OUTAGE_AFTER_MS
+        if peer is None and not after_outage:
             after_outage = self._store_lost
-        first = self.copy.revision == 0
         changes = self.copy.apply(delta)
-        if from_store:
+        restored = not first and self.copy.revision.era > previous.era
+        if restored:
+            self._on_store_restored(previous, peer)
+        if peer is None:
             self.in_sync = True
-        if changes or first:
-            self._context.on_copy_changed(self._kind, changes, after_outage)
+        if changes or first or restored:
+            self._context.on_copy_changed(
+                self._kind, changes, after_outage or restored
+            )
+
+    def _on_store_restored(
+        self, previous: objects.Revision, peer: str | None
+    ) -> None:
+        current = self.copy.revision
+        self._context.log.event(
+            "store_restored",
+            kind=self._kind,
+            era=current.era,
+            revision=current.number,
+            previous_era=previous.era,
+            previous_revision=previous.number,
+            source=peer or "store",
+        )
+        self._context.on_store_restored(current.era)
 
     def _on_store_reached(self) -> None:
         self.in_sync = True
@@ -272,22 +317,32 @@
         """Return the copy's revision and the age of the store's answer."""
         reached_at_ms = max(self._reached_at_ms, self._others_reached_at_ms)
         age_ms = self._context.now_ms() - reached_at_ms
-        fresh = (
-            self.copy.revision > 0 and age_ms < store_watch.WATCHER_TIMEOUT_MS
-        )
+        fresh = not self.copy.empty and age_ms < store_watch.WATCHER_TIMEOUT_MS
+        revision = self.copy.revision
         return messages.KindRevision(
-            self._kind, self.copy.revision, fresh, round(age_ms, 1)
+            self._kind,
+            revision.number,
+            fresh,
+            round(age_ms, 1),
+            revision.era,
         )
 
     def on_peer_revision(
         self, inner_address: str, announced: messages.KindRevision
     ) -> None:
-        """Process a peer's announced revision; fetch from it if newer."""
+        """Process a peer's announced revision; fetch from it if newer.
+
+        A peer in an earlier era has not seen that the store was restored,
+        so it cannot tell whether this node's copy is up to date.
+        """
+        if announced.era < self.copy.revision.era:
+            return
         now_ms = self._context.now_ms()
         reached_at_ms = now_ms - max(0.0, announced.age_ms)
         if announced.fresh and reached_at_ms > self._others_reached_at_ms:
             self._others_reached_at_ms = reached_at_ms
-        if announced.revision <= self.copy.revision:
+        revision = objects.Revision(announced.era, announced.revision)
+        if revision <= self.copy.revision:
             if announced.fresh:
                 self._confirmed_at_ms = max(
                     self._confirmed_at_ms, reached_at_ms
@@ -313,7 +368,7 @@
             delta = await self._context.fetch(
                 inner_address, self._kind, self.copy.revision
             )
-            self._apply(delta, from_store=False)
+            self._apply(delta, peer=inner_address)
             self._behind_since_ms = None
             if announced.fresh:
                 self._confirmed_at_ms = max(
--- a/packages/tier/src/godwitflow/tier/node.py
+++ b/packages/tier/src/godwitflow/tier/node.py
@@ -183,6 +183,9 @@
             log,
             lambda: self.stage is Stage.STOPPING,
         )
+        self.replication.on_restored = (
+            self._self_registration.on_store_restored
+        )
         self.capacity = caller_capacity.CallerCapacity(settings.capacity)
         self._caller_listener = self._new_listener(self._on_request)
         self._readiness_listener = self._new_listener(self._on_ready_check)
@@ -411,6 +414,8 @@
             *self.limit_watch.lines(),
             *self.dispatcher.notice_watch.lines(self._now_ms()),
             *self.permits.lines(),
+            *self.replication.lines(),
+            *self.cluster_state.lines(),
             metrics.gauge_line("caller_connections", connections),
             metrics.gauge_line("request_bytes_held", self.capacity.held_bytes),
             metrics.gauge_line(
--- a/packages/tier/src/godwitflow/tier/replication.py
+++ b/packages/tier/src/godwitflow/tier/replication.py
@@ -24,6 +24,7 @@
 from godwitflow.store import objects
 from godwitflow.tier import follower as followers
 from godwitflow.tier import log as logs
+from godwitflow.tier import metrics
 from godwitflow.tier import pool
 from godwitflow.tier import traffic as traffic_module
 from godwitflow.wire import codec
@@ -37,7 +38,7 @@
 STATE_PATH = b"/state/"
 DEFLATE_LEVEL = 1
 DEFLATE_HEADERS = [(b"Content-Encoding", b"deflate")]
-_REVISION = re.compile("[0-9]{1,19}")
+_NUMBER = re.compile("[0-9]{1,19}")
 
 
 class Members(typing.Protocol):
@@ -97,11 +98,16 @@
         self._listener = listener
         self._traffic = traffic
         self._pools: dict[str, pool.ConnectionPool] = {}
-        self._deflated_deltas: dict[str, tuple[tuple[int, int], bytes]] = {}
+        self._deflated_deltas: dict[
+            str, tuple[tuple[objects.Revision, objects.Revision], bytes]
+        ] = {}
         self._announced_at_ms = 0.0
         self._rank = 0
         self._ranking: list[ids.NodeId] = []
         self._rank_expires_at_ms = 0.0
+        # Called once for each era that the store begins.
+        self.on_restored: typing.Callable[[], None] = lambda: None
+        self._restored_era = 0
         first_list_at_ms = now_ms() + first_list_delay_ms
         self.followers = {
             kind: followers.Follower(self, kind, first_list_at_ms)
@@ -185,6 +191,25 @@
             )
         self._announce()
 
+    def on_store_restored(self, era: int) -> None:
+        """Process that the store was restored, once for all kinds."""
+        if era > self._restored_era:
+            self._restored_era = era
+            self.on_restored()
+
+    def lines(self) -> list[str]:
+        """Return the metrics of the copies as lines of text."""
+        lines = []
+        for kind, follower in self.followers.items():
+            revision = follower.copy.revision
+            lines += [
+                metrics.gauge_line("store_era", revision.era, kind=kind),
+                metrics.gauge_line(
+                    "store_revision", revision.number, kind=kind
+                ),
+            ]
+        return lines
+
     # Fetches ------------------------------------------------------------
 
     def on_revisions(
@@ -199,21 +224,24 @@
     def serve_fetch(self, exchange: callers.Exchange) -> None:
         """Respond to a peer that fetches changes."""
         request = exchange.request
-        query = request.target.partition(b"?")[2].decode("latin-1")
-        after = dict(urllib.parse.parse_qsl(query)).get("after", "")
+        after = _fetched_revision(request)
         kind = request.path.removeprefix(STATE_PATH).decode("latin-1")
         follower = self.followers.get(kind)
-        if follower is None or not _REVISION.fullmatch(after):
+        if follower is None or after is None:
             exchange.respond(http_messages.text_response(404, "no such state"))
             return
         exchange.respond(
             self._fetch_response(
-                kind, follower.copy, int(after), _accepts_deflate(request)
+                kind, follower.copy, after, _accepts_deflate(request)
             )
         )
 
     def _fetch_response(
-        self, kind: str, copy: store_copy.StoreCopy, after: int, deflated: bool
+        self,
+        kind: str,
+        copy: store_copy.StoreCopy,
+        after: objects.Revision,
+        deflated: bool,
     ) -> http_messages.Response:
         """Return the changes after a revision, deflated if accepted.
 
@@ -233,12 +261,14 @@
             self._deflated_deltas[kind] = cached
         return http_messages.Response(200, b"OK", DEFLATE_HEADERS, cached[1])
 
-    def _encode_delta(self, copy: store_copy.StoreCopy, after: int) -> bytes:
+    def _encode_delta(
+        self, copy: store_copy.StoreCopy, after: objects.Revision
+    ) -> bytes:
         header = codec.Header(codec.VERSION, self.node, 0, "")
         return codec.encode(header, [_to_wire(copy.delta_after(after))])
 
     async def fetch(
-        self, inner_address: str, kind: str, after: int
+        self, inner_address: str, kind: str, after: objects.Revision
     ) -> store_copy.Delta:
         """Fetch a peer's changes after a revision.
 
@@ -263,7 +293,7 @@
             self._pools[inner_address] = connection_pool
         data = http_messages.serialize_request(
             b"GET",
-            STATE_PATH + kind.encode() + b"?after=%d" % after,
+            _fetch_target(kind, after),
             [
                 (b"Host", inner_address.encode()),
                 (b"Accept-Encoding", b"deflate"),
@@ -285,21 +315,64 @@
 def _to_wire(delta: store_copy.Delta) -> messages.Delta:
     return messages.Delta(
         delta.kind,
-        delta.after,
-        delta.revision,
+        delta.after.number,
+        delta.revision.number,
         delta.full,
         tuple(
             messages.ObjectChange(
                 change.object.name,
-                change.object.revision,
+                change.object.revision.number,
                 change.removed,
                 change.object.spec,
             )
             for change in delta.changes
         ),
+        delta.revision.era,
+    )
+
+
+def _from_wire(message: messages.Delta) -> store_copy.Delta:
+    era = message.era
+    return store_copy.Delta(
+        message.kind,
+        objects.Revision(era, message.after),
+        objects.Revision(era, message.revision),
+        message.full,
+        tuple(
+            objects.Change(
+                objects.Object(
+                    change.name,
+                    objects.Revision(era, change.revision),
+                    change.spec,
+                ),
+                change.removed,
+            )
+            for change in message.changes
+        ),
     )
 
 
+def _fetch_target(kind: str, after: objects.Revision) -> bytes:
+    query = b"?after=%d&era=%d" % (after.number, after.era)
+    return STATE_PATH + kind.encode() + query
+
+
+def _fetched_revision(
+    request: http_messages.Request,
+) -> objects.Revision | None:
+    """Return the revision after which a peer fetches; None if unreadable.
+
+    Peers of an earlier version state no era.
+    """
+    text = request.target.partition(b"?")[2].decode("latin-1")
+    query = dict(urllib.parse.parse_qsl(text))
+    number = query.get("after", "")
+    era = query.get("era", "0")
+    if not _NUMBER.fullmatch(number) or not _NUMBER.fullmatch(era):
+        return None
+    return objects.Revision(int(era), int(number))
+
+
 def _accepts_deflate(request: http_messages.Request) -> bool:
     accepted = http_messages.find_header(request.headers, b"accept-encoding")
     return accepted is not None and b"deflate" in accepted
@@ -335,19 +408,5 @@
 def _decode_delta(body: bytes) -> store_copy.Delta:
     for message in codec.decode(body).messages:
         if isinstance(message, messages.Delta):
-            return store_copy.Delta(
-                message.kind,
-                message.after,
-                message.revision,
-                message.full,
-                tuple(
-                    objects.Change(
-                        objects.Object(
-                            change.name, change.revision, change.spec
-                        ),
-                        change.removed,
-                    )
-                    for change in message.changes
-                ),
-            )
+            return _from_wire(message)
     raise errors.CodecError("the reply contains no delta")
--- a/packages/tier/src/godwitflow/tier/self_registration.py
+++ b/packages/tier/src/godwitflow/tier/self_registration.py
@@ -1,7 +1,9 @@
 """Registers a node in the store, so that later nodes can contact it."""
 
+import random
 import typing
 
+from twisted.internet import defer
 from twisted.internet import task
 
 from godwitflow.model import addresses
@@ -49,9 +51,20 @@
             await task.deferLater(self._reactor, SEED_REPLY_WAIT_S)
             if len(self._peers.non_dead_members()) > 1:
                 await task.deferLater(self._reactor, VERIFY_DELAY_S)
+        await self._register_until_done(first)
+
+    def on_store_restored(self) -> None:
+        """Register again if a restored store has lost this node's entry."""
+        wait_s = VERIFY_DELAY_S * (1.0 + random.random())
+        self._reactor.callLater(wait_s, self._verify)
+
+    def _verify(self) -> None:
+        defer.ensureDeferred(self._register_until_done(known_absent=False))
+
+    async def _register_until_done(self, known_absent: bool) -> None:
         while not self._stopping():
             try:
-                await self._register(known_absent=first)
+                await self._register(known_absent)
                 return
             except errors.StoreConflictError:
                 return
--- a/packages/tier/tests/test_paused_node.py
+++ b/packages/tier/tests/test_paused_node.py
@@ -14,7 +14,7 @@
 PEER = "10.0.0.2:5"
 PAUSE_S = 8.0
 REVISIONS = messages.Revisions(
-    (messages.KindRevision("upstreams", 1, True, 50.0),)
+    (messages.KindRevision("upstreams", 1, True, 50.0, 1),)
 )
 LIMITS = messages.LimitReports((messages.LimitReport("u1", 1, 5.0, 50.0),))
 
--- a/packages/tier/tests/test_replication.py
+++ b/packages/tier/tests/test_replication.py
@@ -13,6 +13,7 @@
 from godwitflow.model import ids
 from godwitflow.policy import store_watch
 from godwitflow.store import memory_object_store
+from godwitflow.store import objects
 from godwitflow.tier import replication
 from godwitflow.tier import traffic
 from godwitflow.wire import messages
@@ -34,6 +35,7 @@
         self.frozen = False
         self.revision_by_name = {}
         self.sent_count = 0
+        self.restored_count = 0
         super().__init__(
             fleet.clock,
             fleet.store.client_for(self.name),
@@ -46,6 +48,10 @@
             0.0 if number < 3 else 500.0,
             traffic.Traffic(ids.FailureDomain("d1")),
         )
+        self.on_restored = self.count_restored
+
+    def count_restored(self):
+        self.restored_count += 1
 
     def non_dead_members(self):
         return self.fleet.members
@@ -150,7 +156,7 @@
         headers = [(b"Accept-Encoding", b"deflate")] if deflate else []
         request = http_messages.Request(
             b"GET",
-            b"/state/servers?after=%d" % after,
+            replication._fetch_target(KIND, after),
             headers,
             None,
             True,
@@ -171,7 +177,7 @@
         self.assertEqual(first.body, self.fetch(self.after).body)
         self.fleet.store.write(KIND, "main", {"routes": ["last"]})
         self.fleet.advance(400.0)
-        full = replication._inflate(self.fetch(0).body)
+        full = replication._inflate(self.fetch(objects.NO_REVISION).body)
         self.assertTrue(replication._decode_delta(full).full)
         newer = replication._inflate(self.fetch(self.after).body)
         (change,) = replication._decode_delta(newer).changes
@@ -393,7 +399,7 @@
     def test_revisions_never_decrease(self):
         fleet = Fleet(9)
         fleet.advance(2_000.0)
-        last = {node.name: 0 for node in fleet.nodes}
+        last = {node.name: objects.NO_REVISION for node in fleet.nodes}
         for step in range(100):
             fleet.store.write(KIND, "a", {"step": step})
             if step % 30 == 10:
@@ -434,6 +440,145 @@
         self.assertTrue(marks[-1])
 
 
+class RestoredStoreTest(unittest.TestCase):
+    """The store is away for a moment and comes back from a backup."""
+
+    def restore(self, fleet, backup):
+        """Restore the store after 1 s in which it refuses all calls."""
+        fleet.store.should_reject = lambda caller: True
+        fleet.advance(1_000.0)
+        fleet.store.restore(backup)
+        fleet.store.should_reject = lambda caller: False
+
+    def names(self, fleet):
+        return [set(node.revision_by_name) for node in fleet.nodes]
+
+    def copies(self, fleet):
+        return [node.followers[KIND].copy for node in fleet.nodes]
+
+    def play(self, count):
+        """Restore a store that has lost changes; return the fleet."""
+        fleet = Fleet(count)
+        fleet.advance(3_000.0)
+        backup = fleet.store.backup()
+        for number in range(10):
+            fleet.store.write(KIND, f"lost{number}", {})
+        fleet.advance(MAX_DELAY_MS)
+        self.restore(fleet, backup)
+        return fleet
+
+    def test_changes_of_a_restored_store_reach_every_node(self):
+        # All copies kept the higher revision of the era before for good.
+        for count in (3, 9, 64):
+            fleet = self.play(count)
+            fleet.store.write(KIND, "b", {})
+            fleet.advance(MAX_DELAY_MS)
+            self.assertEqual([{"a", "b"}] * count, self.names(fleet))
+
+    def test_all_nodes_get_to_know_once_that_the_store_was_restored(self):
+        fleet = self.play(9)
+        fleet.advance(MAX_DELAY_MS)
+        self.assertEqual(
+            [1] * 9, [node.restored_count for node in fleet.nodes]
+        )
+        for node in fleet.nodes:
+            events = [event for event, _ in node.log.lines]
+            self.assertEqual(1, events.count("store_restored"))
+
+    def test_restored_store_is_called_no_more_than_before(self):
+        # Each watcher listed it thousands of times a second.
+        fleet = self.play(9)
+        fleet.advance(MAX_DELAY_MS)
+        before = fleet.store.calls
+        fleet.advance(9_000.0)
+        self.assertLess(fleet.store.calls - before, 20)
+
+    def test_store_that_has_given_the_numbers_out_again_is_followed(self):
+        # No watch fails then: only the era tells that changes were lost.
+        fleet = Fleet(9)
+        fleet.advance(3_000.0)
+        backup = fleet.store.backup()
+        fleet.store.write(KIND, "lost", {})
+        fleet.advance(MAX_DELAY_MS)
+        fleet.store.restore(backup)
+        for number in range(30):
+            fleet.store.write(KIND, f"b{number}", {})
+        fleet.advance(MAX_DELAY_MS)
+        expected = {"a"} | {f"b{number}" for number in range(30)}
+        self.assertEqual([expected] * 9, self.names(fleet))
+
+    def test_restarted_node_gets_no_copy_of_the_era_before(self):
+        fleet = self.play(9)
+        fleet.restart(5)
+        fleet.store.write(KIND, "b", {})
+        fleet.restart(6)
+        fleet.advance(MAX_DELAY_MS)
+        self.assertEqual([{"a", "b"}] * 9, self.names(fleet))
+        (revision,) = {copy.revision for copy in self.copies(fleet)}
+        self.assertEqual(2, revision.era)
+
+    def test_peer_of_the_era_before_does_not_confirm_a_copy(self):
+        # A node believed such peers and did not look for itself.
+        fleet = self.play(9)
+        fleet.advance(MAX_DELAY_MS)
+        node = fleet.nodes[8]
+        outdated = messages.KindRevision(KIND, 10_000, True, 0.0, 1)
+        fleet.can_reach = lambda origin, target: target is not node
+        for step in range(8):
+            node.on_revisions("n1", messages.Revisions((outdated,)))
+            fleet.store.write(KIND, f"b{step}", {})
+            fleet.advance(500.0)
+        self.assertIn("b0", node.revision_by_name)
+
+    def test_restored_store_that_states_no_new_era_is_not_hammered(self):
+        fleet = Fleet(9)
+        fleet.advance(3_000.0)
+        backup = fleet.store.backup()
+        fleet.store.write(KIND, "lost", {})
+        fleet.advance(MAX_DELAY_MS)
+        fleet.store.restore(backup)
+        era, number = fleet.store.revision
+        fleet.store.revision = objects.Revision(era - 1, number)
+        before = fleet.store.calls
+        fleet.advance(5_000.0)
+        self.assertLess(fleet.store.calls - before, 200)
+        (watcher, *_) = [
+            node
+            for node in fleet.nodes
+            if "store_lost" in [event for event, _ in node.log.lines]
+        ]
+        (error,) = [
+            fields["error"]
+            for event, fields in watcher.log.lines
+            if event == "store_lost"
+        ]
+        self.assertIn("older than the copy", error)
+
+    def test_repeated_restores_leave_all_nodes_with_the_newest(self):
+        for seed in range(20):
+            rng = random.Random(seed)
+            fleet = Fleet(9)
+            fleet.advance(2_000.0)
+            for step in range(6):
+                backup = fleet.store.backup()
+                for number in range(rng.randrange(4)):
+                    fleet.store.write(KIND, f"lost{step}-{number}", {})
+                    fleet.advance(rng.choice((20.0, 400.0)))
+                if rng.random() < 0.5:
+                    fleet.restart(rng.randrange(9))
+                frozen = rng.choice(fleet.nodes)
+                frozen.frozen = True
+                self.restore(fleet, backup)
+                fleet.advance(rng.choice((60.0, 600.0, 2_500.0)))
+                frozen.frozen = False
+            fleet.store.write(KIND, "newest", {})
+            fleet.advance(MAX_DELAY_MS)
+            expected = {
+                stored.name for stored in fleet.store.listing(KIND).objects
+            }
+            self.assertEqual([expected] * 9, self.names(fleet), seed)
+
+
 class WithdrawnEntriesTest(unittest.TestCase):
     """What was removed from the store does not come back on any node."""
 
@@ -465,12 +610,15 @@
         fleet.advance(2_000.0)
         names = {"a"}
         newest = {}
+        oldest = objects.NO_REVISION
         for _ in range(40):
             self.disturb(fleet, rng, names)
             fleet.advance(rng.choice((20.0, 200.0, 900.0)))
             for node in fleet.nodes:
                 revision = node.followers[KIND].copy.revision
-                self.assertGreaterEqual(revision, newest.get(node, 0), seed)
+                self.assertGreaterEqual(
+                    revision, newest.get(node, oldest), seed
+                )
                 newest[node] = revision
         fleet.store.should_reject = lambda caller: False
         for node in fleet.nodes:
--- a/packages/wire/src/godwitflow/wire/messages.py
+++ b/packages/wire/src/godwitflow/wire/messages.py
@@ -283,13 +283,14 @@
 
     ``fresh`` is set if the node watches the store itself or receives the
     announcements of one that does; ``age_ms`` is how long ago the store was
-    reached.
+    reached. ``era`` is that of the revision.
     """
 
     kind: str
     revision: Revision
     fresh: bool
     age_ms: Milliseconds = 0.0
+    era: Count = 0
 
 
 class Revisions(msgspec.Struct, frozen=True, array_like=True, tag=18):
@@ -310,7 +311,8 @@
 class Delta(msgspec.Struct, frozen=True, array_like=True, tag=19):
     """The changes of a kind that a peer lacks, sent over TCP on request.
 
-    If ``full`` is set, ``changes`` holds every object that exists.
+    If ``full`` is set, ``changes`` holds every object that exists. All
+    revisions are of the same ``era``.
     """
 
     kind: str
@@ -318,6 +320,7 @@
     revision: Revision
     full: bool
     changes: tuple[ObjectChange, ...]
+    era: Count = 0
 
 
 class UpstreamReport(msgspec.Struct, frozen=True, array_like=True):
