--- a/packages/http1/src/godwitflow/http1/caller_capacity.py
+++ b/packages/http1/src/godwitflow/http1/caller_capacity.py
@@ -10,7 +10,6 @@
 import typing
 
 SMALL_REQUEST_BYTES = 4_096
-HEADER_OVERHEAD_BYTES = 130  # objects that hold one header's name and value
 REQUEST_OVERHEAD_BYTES = 600  # objects that hold one request
 EVICTED_SHARE = 0.05  # of the connections, so that a search serves several
 
--- a/packages/http1/src/godwitflow/http1/callers.py
+++ b/packages/http1/src/godwitflow/http1/callers.py
@@ -282,7 +282,7 @@
         if not self._headers_complete and self._error_response is None:
             self._headers.append((name, value))
             self._header_memory_bytes += (
-                len(name) + len(value) + caller_capacity.HEADER_OVERHEAD_BYTES
+                len(name) + len(value) + messages.HEADER_OVERHEAD_BYTES
             )
 
     def on_headers_complete(self) -> None:
--- a/packages/http1/src/godwitflow/http1/messages.py
+++ b/packages/http1/src/godwitflow/http1/messages.py
@@ -8,6 +8,7 @@
 
 Headers = list[tuple[bytes, bytes]]
 
+HEADER_OVERHEAD_BYTES = 130  # objects that hold one header's name and value
 HOP_BY_HOP = frozenset(
     (
         b"connection",
--- a/packages/http1/src/godwitflow/http1/upstreams.py
+++ b/packages/http1/src/godwitflow/http1/upstreams.py
@@ -160,7 +160,7 @@
 
     ``id_header`` is the lower-case name of the header in which responses
     echo the request id. ``bytes_carried`` counts the owner's traffic
-    and ``receive_memory`` the bodies that are being received.
+    and ``receive_memory`` the responses that are being received.
     """
 
     id_header: bytes
@@ -203,6 +203,7 @@
         self._has_delivered = False
         self._ambiguous = False
         self._body_bytes = 0
+        self._held_bytes = 0
         self._keep_alive_ms = DEFAULT_KEEP_ALIVE_MS
         self._complete_responses: list[tuple[messages.Response, bool]] = []
         self._parser: typing.Any = httptools.HttpResponseParser(self)
@@ -212,12 +213,17 @@
         self._reason = b""
         self._headers: messages.Headers = []
         self._body = bytearray()
-        self.owner.receive_memory.release(self._body_bytes)
         self._body_bytes = 0
+        self._hold(0)
         self._in_message = False
         self._headers_complete = False
         self._framed = False
 
+    def _hold(self, count: int) -> None:
+        """Count the bytes that the incomplete response takes now."""
+        self.owner.receive_memory.resize(self._held_bytes, count)
+        self._held_bytes = count
+
     # Sending ------------------------------------------------------------
 
     def send(self, call: Call) -> None:
@@ -331,16 +337,18 @@
         """Return whether the incomplete response exceeds a size limit."""
         if self._received_bytes > MAX_RESPONSE_BYTES:
             return True
-        if self.owner.receive_memory.must_drop(self._body_bytes):
-            return True
         message_bytes = self._received_bytes - self._head_start_bytes
+        overhead_bytes = messages.HEADER_OVERHEAD_BYTES * len(self._headers)
+        self._hold(message_bytes + overhead_bytes)
+        if self.owner.receive_memory.must_drop(self._held_bytes):
+            return True
         if not self._headers_complete:
             return (
                 message_bytes > MAX_HEAD_BYTES
                 or len(self._headers) > MAX_HEADERS
             )
-        overhead_bytes = message_bytes - self._body_bytes
-        return overhead_bytes - self._body_bytes > MAX_OVERHEAD_BYTES
+        framing_bytes = message_bytes - self._body_bytes
+        return framing_bytes - self._body_bytes > MAX_OVERHEAD_BYTES
 
     def _abort(self, reason: FailureReason) -> None:
         self.closed = True
@@ -391,7 +399,6 @@
         """Append to the body."""
         self._body += body
         self._body_bytes += len(body)
-        self.owner.receive_memory.hold(len(body))
 
     def on_message_complete(self) -> None:
         """Keep the response until all received bytes are parsed."""
--- a/packages/http1/tests/test_upstreams.py
+++ b/packages/http1/tests/test_upstreams.py
@@ -487,6 +487,36 @@
         first.connection.close()
         self.assertEqual(0, owner.receive_memory.held_bytes)
 
+    def hold_on_many(self, start, count, owner):
+        """Receive the start of a response on many connections."""
+        for _ in range(count):
+            PendingCall(owner=owner).connection.dataReceived(start)
+
+    def test_many_bodies_that_stop_short_share_the_memory_limit(self):
+        # Each took up to 256 KiB that no limit counted.
+        memory_bytes = 1_048_576
+        owner = RecordingOwner(memory_bytes)
+        start = b"HTTP/1.1 200 OK\r\n\r\n" + b"a" * 100_000
+        self.hold_on_many(start, 100, owner)
+        self.assertLess(owner.receive_memory.held_bytes, 2 * memory_bytes)
+        self.assertGreater(owner.receive_memory.dropped_count, 0)
+
+    def test_many_heads_that_stop_short_share_the_memory_limit(self):
+        memory_bytes = 1_048_576
+        owner = RecordingOwner(memory_bytes)
+        start = b"HTTP/1.1 200 OK\r\n" + b"A: b\r\n" * 500 + b"a" * 40_000
+        self.hold_on_many(start, 100, owner)
+        self.assertLess(owner.receive_memory.held_bytes, 2 * memory_bytes)
+
+    def test_small_response_is_received_while_others_exceed_the_limit(self):
+        owner = RecordingOwner(100_000)
+        start = b"HTTP/1.1 200 OK\r\n\r\n" + b"a" * 30_000
+        self.hold_on_many(start, 6, owner)
+        small = PendingCall(owner=owner)
+        small.connection.dataReceived(RESPONSE[:-1])
+        small.connection.dataReceived(RESPONSE[-1:])
+        self.assertEqual([b"hello"], small.bodies())
+
 
 def load_tests(loader, tests, pattern):
     """Add the doctests of the memory limit and of statuses."""
--- a/packages/tier/src/godwitflow/tier/dispatcher.py
+++ b/packages/tier/src/godwitflow/tier/dispatcher.py
@@ -39,7 +39,8 @@
     ``outcomes`` keeps their health up to date, ``latencies`` the latency
     of each route. ``on_crashes`` is called with the fingerprint of a
     request that crashed upstreams and the number of crashes. ``permits``
-    has to be set before the first call.
+    has to be set before the first call. ``response_bytes`` bounds what
+    responses take that are being received.
     """
 
     def __init__(
@@ -54,6 +55,7 @@
         metrics: metrics_module.Metrics,
         seed: int,
         limit_watch: limit_watching.LimitWatch,
+        response_bytes: int = receive_memory.LIMIT_BYTES,
     ) -> None:
         self.log = log
         self.limit_watch = limit_watch
@@ -81,7 +83,7 @@
         self._failure_domain = failure_domain
         self._evacuated: frozenset[ids.FailureDomain] = frozenset()
         self._traffic = traffic
-        self._receive_memory = receive_memory.ReceiveMemory()
+        self.receive_memory = receive_memory.ReceiveMemory(response_bytes)
         self._retry_limits = retry_limits
         self._services: dict[ids.ServiceName, services.Service] = {}
         self._upstreams: dict[ids.UpstreamId, services.Upstream] = {}
@@ -188,7 +190,7 @@
             bytes_carried=self._traffic.count_for(
                 traffic_module.Purpose.UPSTREAM_CALLS, entry.failure_domain
             ),
-            receive_memory=self._receive_memory,
+            receive_memory=self.receive_memory,
         )
         upstream = services.Upstream(
             entry,
--- a/packages/tier/src/godwitflow/tier/node.py
+++ b/packages/tier/src/godwitflow/tier/node.py
@@ -98,6 +98,7 @@
             self.metrics,
             seed,
             self.limit_watch,
+            settings.response_bytes,
         )
         self.dispatcher.notice_watch.drain_ms = settings.bounds.drain_ms
         self.router = request_router.RequestRouter(self.dispatcher, log, seed)
@@ -424,6 +425,14 @@
             metrics.gauge_line(
                 "connections_evicted", self.capacity.evicted_count
             ),
+            metrics.gauge_line(
+                "response_bytes_held",
+                self.dispatcher.receive_memory.held_bytes,
+            ),
+            metrics.gauge_line(
+                "responses_without_room",
+                self.dispatcher.receive_memory.dropped_count,
+            ),
             metrics.gauge_line("members", len(members)),
             metrics.gauge_line("log_lines_left_out", self._log.dropped_total),
             metrics.gauge_line("inner_rejected", self.peers.rejected_count),
--- a/packages/tier/src/godwitflow/tier/settings.py
+++ b/packages/tier/src/godwitflow/tier/settings.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from godwitflow.http1 import caller_capacity
+from godwitflow.http1 import receive_memory
 from godwitflow.model import ids
 from godwitflow.policy import quotas
 from godwitflow.policy import retry_budget
@@ -36,6 +37,7 @@
     ``first_start`` is set only when the whole system starts for the
     first time. ``cores`` is the VM's CPU capacity, in standard cores,
     and ``capacity`` what callers may take of its memory and descriptors.
+    ``response_bytes`` is what upstreams' incomplete responses may take.
     ``evacuations`` says that the operator may evacuate failure domains.
     """
 
@@ -53,3 +55,4 @@
     cores: float = 1.0
     evacuations: bool = False
     capacity: caller_capacity.CapacityLimits = caller_capacity.CapacityLimits()
+    response_bytes: int = receive_memory.LIMIT_BYTES
