Register once at a time after a store was restored

What was seen: in a run of godwitflow.soak.store_troubles a node that could not reach the store logged join_delayed four times each 2 s: each restore of the store had started one more loop that registers the node.

Change: a node that is registering does not start once more.

--- a/packages/tier/src/godwitflow/tier/self_registration.py
+++ b/packages/tier/src/godwitflow/tier/self_registration.py
@@ -37,6 +37,7 @@
         self._peers = peers
         self._log = log
         self._stopping = stopping
+        self._registering = False
 
     async def run(self) -> None:
         """Create or update this node's entry, retrying if the store fails.
@@ -62,15 +63,28 @@
         defer.ensureDeferred(self._register_until_done(known_absent=False))
 
     async def _register_until_done(self, known_absent: bool) -> None:
-        while not self._stopping():
-            try:
-                await self._register(known_absent)
-                return
-            except errors.StoreConflictError:
-                return
-            except errors.StoreError as error:
-                self._log.event("join_delayed", error=str(error))
+        """Register, unless that is being tried already."""
+        if self._registering:
+            return
+        self._registering = True
+        try:
+            while not self._stopping():
+                if await self._try_register(known_absent):
+                    return
                 await task.deferLater(self._reactor, RETRY_INTERVAL_S)
+        finally:
+            self._registering = False
+
+    async def _try_register(self, known_absent: bool) -> bool:
+        """Return whether this node is registered."""
+        try:
+            await self._register(known_absent)
+        except errors.StoreConflictError:
+            return True
+        except errors.StoreError as error:
+            self._log.event("join_delayed", error=str(error))
+            return False
+        return True
 
     async def _register(self, known_absent: bool) -> None:
         settings = self._settings
--- a/packages/tier/tests/test_restored_store.py
+++ b/packages/tier/tests/test_restored_store.py
@@ -116,6 +116,21 @@
         listed = self.store.listing("members").objects
         self.assertEqual(["n1"], [entry.name for entry in listed])
 
+    def test_node_that_registers_already_does_not_start_once_more(self):
+        # Each restore added one more loop while the store was away.
+        self.store.should_reject = lambda caller: True
+        registration = self.fixture.node._self_registration
+        for _ in range(5):
+            registration.on_store_restored()
+        self.fixture.advance(VERIFY_MS)
+        before = self.delayed_count()
+        self.fixture.advance(10_000.0)
+        self.assertLessEqual(self.delayed_count() - before, 5)
+
+    def delayed_count(self):
+        events = [event for event, _ in self.fixture.log.lines]
+        return events.count("join_delayed")
+
     def test_metrics_tell_which_configuration_and_store_a_node_follows(self):
         self.restore(self.store.backup())
         self.fixture.advance(SETTLED_MS)
