Close connections whose answer is on its way last

Cause: beyond three quarters of the descriptors, connections with an answer that is not written in full were closed first, whether their callers read or not.

Change: such a connection is closed only if there is no other, one at a time, unless its answer has been left unread for 5 s. The order is a type.

--- a/packages/http1/src/godwitflow/http1/caller_capacity.py
+++ b/packages/http1/src/godwitflow/http1/caller_capacity.py
@@ -2,11 +2,12 @@
 
 Callers may send many large requests at once and never finish them. When
 the requests that are being received take too much, the oldest incomplete
-ones are refused; when there are too many connections, those that serve no
-request are closed. Small requests are never refused for what others send.
+ones are refused; when there are too many connections, those with the least
+to lose are closed. Small requests are never refused for what others send.
 """
 
 import dataclasses
+import enum
 import typing
 
 SMALL_REQUEST_BYTES = 4_096
@@ -14,6 +15,34 @@
 EVICTED_SHARE = 0.05  # of the connections, so that a search serves several
 
 
+class EvictionOrder(enum.IntEnum):
+    """What a connection is doing, in the order in which it is evicted.
+
+    ``UNREAD`` has an answer that its caller has left unread for long.
+    ``ANSWERING`` has one on its way, and is evicted only if there is no
+    other: its request has been run.
+    """
+
+    UNREAD = 0
+    CLOSING = 1
+    READING = 2
+    IDLE = 3
+    ANSWERING = 4
+
+
+_LAST_RESORT = EvictionOrder.ANSWERING
+
+
+class EvictionRank(typing.NamedTuple):
+    """Where a connection stands among those that may be evicted.
+
+    At the same order, the one that is there for longest comes first.
+    """
+
+    order: EvictionOrder
+    since_ms: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class CapacityLimits:
     """What the requests and connections of all callers may take.
@@ -38,7 +67,7 @@
         """Drop the request that is being received and refuse it."""
         ...
 
-    def eviction_rank(self) -> tuple[int, float] | None:
+    def eviction_rank(self) -> EvictionRank | None:
         """Return the order in which to close it, None while it serves."""
         ...
 
@@ -118,12 +147,13 @@
         connection.refuse_incomplete()
 
     def _evict(self) -> None:
-        ranked = [
+        ranked = sorted(
             (rank, index, connection)
             for index, connection in enumerate(self._connections)
             if (rank := connection.eviction_rank()) is not None
-        ]
+        )
+        spare = [row for row in ranked if row[0].order < _LAST_RESORT]
         count = max(1, int(self.limits.connections * EVICTED_SHARE))
-        for _, _, connection in sorted(ranked)[:count]:
+        for _, _, connection in spare[:count] or ranked[:1]:
             self.evicted_count += 1
             connection.evict()
--- a/packages/http1/src/godwitflow/http1/callers.py
+++ b/packages/http1/src/godwitflow/http1/callers.py
@@ -27,6 +27,7 @@
 # Very small chunks take long to parse, and others wait meanwhile.
 CHUNKED_READ_BYTES = 4_096
 MAX_UNSENT_BYTES = 16_384  # beyond it the next request has to wait
+UNREAD_ANSWER_MS = 5_000.0  # callers that read at all are faster
 
 
 class State(enum.Enum):
@@ -38,6 +39,14 @@
     CLOSING = "closing"
 
 
+_ORDER = caller_capacity.EvictionOrder
+_ORDER_BY_STATE = {
+    State.CLOSING: _ORDER.CLOSING,
+    State.READING: _ORDER.READING,
+    State.IDLE: _ORDER.IDLE,
+}
+
+
 @dataclasses.dataclass(slots=True)
 class Limits:
     """Limits on what a caller may send, and for how long.
@@ -124,6 +133,7 @@
         self.held_bytes = 0
         self._request_bytes: list[int] = []  # of complete requests
         self._unsent_bytes = 0
+        self._unsent_since_ms = 0.0
         self._written_bytes = 0
         self._parser: typing.Any = httptools.HttpRequestParser(self)
         self._queue: list[messages.Request] = []
@@ -237,19 +247,26 @@
         self.server.capacity.hold(self, sum(self._request_bytes))
         self._handle_next()
 
-    def eviction_rank(self) -> tuple[int, float] | None:
+    def eviction_rank(self) -> caller_capacity.EvictionRank | None:
         """Return the order in which to close it, None while it serves."""
         if self._unsent_bytes:
-            return 0, self.state_since_ms
-        order = (State.CLOSING, State.READING, State.IDLE)
+            since_ms = self._unsent_since_ms
+            unread_ms = self.server.now_ms() - since_ms
+            unread = unread_ms > UNREAD_ANSWER_MS
+            order = _ORDER.UNREAD if unread else _ORDER.ANSWERING
+            return caller_capacity.EvictionRank(order, since_ms)
         if self._exchange is not None or self._queue:
             return None
-        if self.state not in order:
+        if self.state not in _ORDER_BY_STATE:
             return None
-        return order.index(self.state), self.state_since_ms
+        return caller_capacity.EvictionRank(
+            _ORDER_BY_STATE[self.state], self.state_since_ms
+        )
 
     def pauseProducing(self) -> None:  # noqa: N802
         """Handle no further request until the caller has read more."""
+        if not self._unsent_bytes:
+            self._unsent_since_ms = self.server.now_ms()
         self._unsent_bytes = max(1, self._written_bytes)
 
     def resumeProducing(self) -> None:  # noqa: N802
--- a/packages/http1/tests/test_callers.py
+++ b/packages/http1/tests/test_callers.py
@@ -333,6 +333,18 @@
         connection.resumeProducing()
         self.assertEqual(2, len(self.server.exchanges))
 
+    def test_answer_on_its_way_is_evicted_last_until_it_is_left_unread(self):
+        order = caller_capacity.EvictionOrder
+        connection = self.send(GET)
+        connection.pauseProducing()
+        self.assertIs(order.ANSWERING, connection.eviction_rank().order)
+        self.server.time_ms += callers.UNREAD_ANSWER_MS + 1.0
+        connection.pauseProducing()
+        self.assertIs(order.UNREAD, connection.eviction_rank().order)
+        connection.resumeProducing()
+        connection.pauseProducing()
+        self.assertIs(order.ANSWERING, connection.eviction_rank().order)
+
     def test_caller_that_reads_no_answers_gives_way(self):
         unread = self.send(GET * 2)
         self.server.exchanges[0].respond(
