--- a/packages/soak/src/godwitflow/soak/deployment.py
+++ b/packages/soak/src/godwitflow/soak/deployment.py
@@ -1,6 +1,7 @@
 """The deployment under test: store, upstreams, proxies and nodes."""
 
 import dataclasses
+import os
 import pathlib
 import random
 import socket
@@ -12,6 +13,8 @@
 from godwitflow.standins import fake_store
 from godwitflow.standins import fake_upstream
 from godwitflow.standins import fixtures
+from godwitflow.store import memory_object_store
+from godwitflow.store import objects
 
 STORE_HOST = "127.0.0.1"
 DOMAINS = ("east", "west")
@@ -19,6 +22,8 @@
 REPLICAS = 3
 PORTS_PER_NODE = 4
 DRAIN_WAIT_S = 4.0
+REPORT_AGAIN_S = 1.5
+SILENCE_S = 3.6  # three missing reports
 KEEP_ALIVE_TIMES_S = (None, 60)
 
 
@@ -26,7 +31,7 @@
 class RegisteredUpstream:
     """An upstream, the proxy in front of it, and its registration.
 
-    ``address`` is the proxy's.
+    ``address`` is the proxy's, ``state`` what the upstream reports.
     """
 
     upstream: fake_upstream.FakeUpstream
@@ -34,6 +39,7 @@
     address: str
     failure_domain: str
     sequence: int = 1
+    state: str = "ready"
 
 
 class Deployment:
@@ -62,6 +68,7 @@
         self.store = fake_store.FakeStore(reactor)
         self.store.keep_alive_s = rng.choice(KEEP_ALIVE_TIMES_S)
         self.configuration_number = 0
+        self._configuration: dict[str, typing.Any] = {}
         self.upstreams: dict[str, RegisteredUpstream] = {}
         self.nodes: list[processes.NodeProcess] = []
         self.store_proxies: dict[str, proxies.Proxy] = {}
@@ -143,6 +150,7 @@
         """Write an upstream's registration to the store."""
         registered = self.upstreams[name]
         registered.sequence += 1
+        registered.state = state
         entry = fixtures.registration(
             registered.upstream.service,
             registered.address,
@@ -161,9 +169,52 @@
         self.reactor.callLater(DRAIN_WAIT_S, self._remove, name)
 
     def _remove(self, name: str) -> None:
-        if self.upstreams.pop(name, None) is not None:
+        self.upstreams.pop(name, None)
+        self._remove_entry(name)
+
+    def _remove_entry(self, name: str) -> None:
+        if name not in self.upstreams and self._entry(name) is not None:
             self.store.objects.remove("servers", name)
 
+    def _entry(self, name: str) -> objects.Spec | None:
+        """Return what the store holds of an upstream."""
+        for entry in self.store.objects.listing("servers").objects:
+            if entry.name == name:
+                return entry.spec
+        return None
+
+    # Restores of the store ----------------------------------------------
+
+    def restore_store(self, backup: memory_object_store.Backup) -> None:
+        """Bring the store back from a backup.
+
+        The operator writes the newest configuration again, each upstream
+        reports its state again, and the platform removes the entries of
+        those that no longer report.
+        """
+        self.store.objects.restore(backup)
+        self.store.objects.write("config", "main", self._configuration)
+        for name in self.upstreams:
+            wait_s = self.random.uniform(0.0, REPORT_AGAIN_S)
+            self.reactor.callLater(wait_s, self._report_again, name)
+        for entry in self.store.objects.listing("servers").objects:
+            if entry.name not in self.upstreams:
+                self.reactor.callLater(
+                    SILENCE_S, self._remove_entry, entry.name
+                )
+
+    def _report_again(self, name: str) -> None:
+        """Report an upstream's state, unless the store holds it already.
+
+        A report in which only the sequence differs changes no entry.
+        """
+        registered = self.upstreams.get(name)
+        if registered is None:
+            return
+        held = self._entry(name)
+        if held is None or held["state"] != registered.state:
+            self.register(name, registered.state)
+
     # The operator -------------------------------------------------------
 
     def change_configuration(self) -> None:
@@ -175,17 +226,16 @@
             self.configuration_number * 3, SHARDS, service
         )
         document["limits"].update(self._caller_limits)
+        self._configuration = document
         self.store.objects.write("config", "main", document)
 
 
 def _allocate_endpoints(count: int) -> list[fixtures.NodeEndpoints]:
     """Return endpoints on loopback addresses; all their ports are free."""
-    inner = _find_inner_port(
-        [f"127.0.0.{2 + index}" for index in range(count)]
-    )
+    hosts = [f"{_loopback_net()}.{2 + index}" for index in range(count)]
+    inner = _find_inner_port(hosts)
     all_endpoints = []
-    for index in range(count):
-        host = f"127.0.0.{2 + index}"
+    for index, host in enumerate(hosts):
         front, ready, directory, control = _free_ports(host)
         all_endpoints.append(
             fixtures.NodeEndpoints(
@@ -202,6 +252,15 @@
     return all_endpoints
 
 
+def _loopback_net() -> str:
+    """Return a network of this process's own.
+
+    A run at the same time could take the port of a node that restarts.
+    """
+    number = 256 + os.getpid() % (255 * 256)
+    return f"127.{number // 256}.{number % 256}"
+
+
 def _free_ports(host: str) -> list[int]:
     sockets = [socket.socket() for _ in range(PORTS_PER_NODE)]
     for sock in sockets:
