Soak: share the start, end and report of runs, and the single small node

The four kinds of runs each had their own wait for ready nodes, their own loop over seeds and their own single node with a caller.

--- a/packages/soak/src/godwitflow/soak/crowd.py
+++ b/packages/soak/src/godwitflow/soak/crowd.py
@@ -8,22 +8,17 @@
 
 import dataclasses
 import enum
-import json
 import pathlib
-import random
-import tempfile
 import typing
 
 import cyclopts
-from twisted.internet import defer
 from twisted.internet import interfaces
 from twisted.internet import protocol
 from twisted.internet import task
 from zope.interface import implementer
 
-from godwitflow.soak import callers
-from godwitflow.soak import deployment as deployments
 from godwitflow.soak import history as histories
+from godwitflow.soak import small_node
 from godwitflow.standins import fixtures
 
 MEMORY_MB = 96
@@ -39,8 +34,6 @@
 PIPELINED_REQUESTS = 30
 PIPELINED_HEADER_BYTES = 8_192
 AUTHORIZATION = f"Authorization: Token {fixtures.KEYS['north']}"
-POLL_S = 0.1
-ANSWER_TIMEOUT_S = 60.0  # for an answer that comes, however slow the machine
 MAX_POLLS = 100  # clients whose node stops reading do not settle
 
 app = cyclopts.App(help_format="markdown")
@@ -187,51 +180,29 @@
         self.report = Report()
         self._reactor = reactor
         self._form = form
-        self._deployment = deployments.Deployment(
+        self._node = small_node.SmallNode(
             reactor,
-            1,
             folder,
-            random.Random(1),
             {"memoryMb": MEMORY_MB, "maxFds": MAX_DESCRIPTORS},
             {"headerTimeoutMs": REQUEST_TIMEOUT_MS},
         )
-        self._node = self._deployment.nodes[0]
-        self._caller = callers.Caller(
-            reactor,
-            "ordinary",
-            random.Random(2),
-            self._deployment.current_processes,
-            self._deployment.history,
-            lambda: self._deployment.configuration_number,
-            ANSWER_TIMEOUT_S,
-        )
 
     async def run(self) -> Report:
         """Play the crowd and return what was found."""
-        self._reactor.addSystemEventTrigger(
-            "before", "shutdown", self._node.kill
-        )
-        self._node.start()
-        while not await callers.is_ready(self._reactor, self._node.endpoints):
-            await task.deferLater(self._reactor, POLL_S)
+        node = self._node
         report = self.report
-        report.calm_status = await self._send(
-            histories.Kind.GATHER, b"x" * BODY_BYTES
+        await node.start()
+        report.calm_status = await node.ask(
+            "calm", histories.Kind.GATHER, b"x" * BODY_BYTES
         )
         await self._send_crowd()
-        report.descriptors = self._node.descriptor_count()
-        report.status = await self._send(histories.Kind.IDEMPOTENT, b"")
-        report.peak_mb = round(self._node.peak_memory_mb(), 1)
-        report.exit_codes = list(self._node.exit_codes)
-        self._node.kill()
+        report.descriptors = node.process.descriptor_count()
+        report.status = await node.ask("ordinary", histories.Kind.IDEMPOTENT)
+        report.peak_mb = node.peak_mb()
+        report.exit_codes = list(node.process.exit_codes)
+        node.process.kill()
         return report
 
-    async def _send(self, kind: histories.Kind, body: bytes) -> int:
-        record = await self._caller.send_request(
-            self._node.endpoints, self._node.endpoints.name, kind, body
-        )
-        return record.status
-
     async def _send_crowd(self) -> None:
         """Connect all clients and wait until they have settled."""
         endpoints = self._node.endpoints
@@ -248,7 +219,7 @@
         for _ in range(MAX_POLLS):
             if all(client.settled for client in crowd):
                 break
-            await task.deferLater(self._reactor, POLL_S)
+            await task.deferLater(self._reactor, small_node.POLL_S)
 
 
 @app.default
@@ -261,16 +232,9 @@
         How the clients send their requests: whole, pieces, large-chunks,
         small-chunks or unread.
     """
-    from twisted.internet import reactor  # noqa: PLC0415
-
-    async def run() -> None:
-        with tempfile.TemporaryDirectory() as folder:
-            report = await CrowdRun(
-                reactor, Form(form), pathlib.Path(folder)
-            ).run()
-        print(json.dumps(dataclasses.asdict(report)), flush=True)
-
-    task.react(lambda _: defer.ensureDeferred(run()))
+    small_node.print_report(
+        lambda reactor, folder: CrowdRun(reactor, Form(form), folder).run()
+    )
 
 
 if __name__ == "__main__":
--- a/packages/soak/src/godwitflow/soak/endless.py
+++ b/packages/soak/src/godwitflow/soak/endless.py
@@ -7,23 +7,18 @@
 
 import dataclasses
 import enum
-import json
 import pathlib
-import random
-import tempfile
 import typing
 
 import cyclopts
-from twisted.internet import defer
 from twisted.internet import interfaces
 from twisted.internet import protocol
-from twisted.internet import task
 from zope.interface import implementer
 
 from godwitflow.soak import callers
 from godwitflow.soak import deployment as deployments
 from godwitflow.soak import history as histories
-from godwitflow.soak import processes
+from godwitflow.soak import small_node
 
 MEMORY_MB = 96
 MAX_DESCRIPTORS = 1_024
@@ -33,8 +28,6 @@
 PARKED_BYTES = 250_000
 PARKED_HEAD_BYTES = 60_000
 PARKED_INTERVAL_S = 0.05
-POLL_S = 0.1
-ANSWER_TIMEOUT_S = 60.0  # for an answer that comes, however slow the machine
 HEAD = b"HTTP/1.1 200 OK\r\n"
 CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
 
@@ -182,69 +175,45 @@
         self, reactor: typing.Any, form: Form, folder: pathlib.Path
     ) -> None:
         self.report = Report()
-        self._reactor = reactor
-        self._deployment = deployments.Deployment(
+        self._node = small_node.SmallNode(
             reactor,
-            1,
             folder,
-            random.Random(1),
             {"memoryMb": MEMORY_MB, "maxFds": MAX_DESCRIPTORS},
         )
-        self._node: processes.NodeProcess = self._deployment.nodes[0]
         factory = _EndlessFactory(reactor, stream_of(form))
-        for name, registered in self._deployment.upstreams.items():
+        deployment = self._node.deployment
+        for name, registered in deployment.upstreams.items():
             if registered.upstream.service in deployments.SHARDS:
                 port = reactor.listenTCP(
                     0, factory, interface=deployments.STORE_HOST
                 )
                 host = port.getHost()
                 registered.address = f"{host.host}:{host.port}"
-                self._deployment.register(name, "ready")
+                deployment.register(name, "ready")
 
     async def run(self) -> Report:
         """Ask the upstreams and return what was found."""
-        self._reactor.addSystemEventTrigger(
-            "before", "shutdown", self._node.kill
-        )
-        self._node.start()
-        while not await callers.is_ready(self._reactor, self._node.endpoints):
-            await task.deferLater(self._reactor, POLL_S)
+        node = self._node
         report = self.report
-        report.start_mb = round(self._node.peak_memory_mb(), 1)
+        await node.start()
+        report.start_mb = node.peak_mb()
         crowd = callers.gather_all(
             [self._ask_often(number) for number in range(CALLERS)]
         )
-        ordinary = await self._ask("ordinary", histories.Kind.IDEMPOTENT)
+        report.status = await node.ask("ordinary", histories.Kind.IDEMPOTENT)
         await crowd
-        report.status = ordinary
-        report.exit_codes = list(self._node.exit_codes)
-        if not report.exit_codes:
-            report.peak_mb = round(self._node.peak_memory_mb(), 1)
-        self._node.kill()
+        report.peak_mb = node.peak_mb()
+        report.exit_codes = list(node.process.exit_codes)
+        node.process.kill()
         return report
 
     async def _ask_often(self, number: int) -> None:
         for count in range(REQUESTS_PER_CALLER):
-            status = await self._ask(
+            status = await self._node.ask(
                 f"c{number}-{count}-", histories.Kind.GATHER
             )
             self.report.statuses.append(status)
 
-    async def _ask(self, name: str, kind: histories.Kind) -> int:
-        caller = callers.Caller(
-            self._reactor,
-            name,
-            random.Random(name),
-            self._deployment.current_processes,
-            self._deployment.history,
-            lambda: self._deployment.configuration_number,
-            ANSWER_TIMEOUT_S,
-        )
-        record = await caller.send_request(
-            self._node.endpoints, self._node.endpoints.name, kind
-        )
-        return record.status
-
 
 @app.default
 def endless(form: str) -> None:
@@ -255,16 +224,9 @@
     form
         What the upstreams send, for example headers, length or parked-body.
     """
-    from twisted.internet import reactor  # noqa: PLC0415
-
-    async def run() -> None:
-        with tempfile.TemporaryDirectory() as folder:
-            report = await EndlessRun(
-                reactor, Form(form), pathlib.Path(folder)
-            ).run()
-        print(json.dumps(dataclasses.asdict(report)), flush=True)
-
-    task.react(lambda _: defer.ensureDeferred(run()))
+    small_node.print_report(
+        lambda reactor, folder: EndlessRun(reactor, Form(form), folder).run()
+    )
 
 
 if __name__ == "__main__":
--- a/packages/soak/src/godwitflow/soak/main.py
+++ b/packages/soak/src/godwitflow/soak/main.py
@@ -4,16 +4,12 @@
 """
 
 import dataclasses
-import json
 import pathlib
 import random
 import signal
-import sys
-import tempfile
 import typing
 
 import cyclopts
-from twisted.internet import defer
 from twisted.internet import task
 
 from godwitflow.soak import callers
@@ -21,10 +17,10 @@
 from godwitflow.soak import deployment as deployments
 from godwitflow.soak import faults
 from godwitflow.soak import history as histories
+from godwitflow.soak import seeded_runs
 
 FAULT_INTERVAL_S = (0.3, 1.2)
 FAULT_DURATION_S = (0.3, 3.0)
-START_TIMEOUT_S = 60.0
 SETTLE_S = 6.0
 STOP_TIMEOUT_S = 60.0
 CALLER_COUNT = 8
@@ -92,21 +88,12 @@
 
     async def run(self) -> Report:
         """Run all phases and check the result."""
-        self._reactor.addSystemEventTrigger(
-            "before", "shutdown", self._kill_nodes
+        await seeded_runs.kill_after(
+            self._reactor, self._deployment.nodes, self._run_phases()
         )
-        try:
-            await self._run_phases()
-        finally:
-            self._kill_nodes()
         self._fill_report()
         return self.report
 
-    def _kill_nodes(self) -> None:
-        """Kill the nodes; also called if the run fails."""
-        for node in self._deployment.nodes:
-            node.kill()
-
     async def _run_phases(self) -> None:
         for node in self._deployment.nodes:
             node.start()
@@ -134,13 +121,9 @@
         await task.deferLater(self._reactor, seconds)
 
     async def _wait_until_ready(self) -> None:
-        timeout_at_s = self._reactor.seconds() + START_TIMEOUT_S
-        for node in self._deployment.nodes:
-            while not await callers.is_ready(self._reactor, node.endpoints):
-                if self._reactor.seconds() > timeout_at_s:
-                    self._add_problem(f"unready: {node.endpoints.name}")
-                    return
-                await self._sleep(0.1)
+        self.report.problems += await seeded_runs.wait_until_ready(
+            self._reactor, self._deployment.nodes
+        )
 
     def _add_problem(self, text: str) -> None:
         self.report.problems.append(text)
@@ -252,25 +235,14 @@
         Where to put the nodes' logs and settings; a new temporary folder by
         default.
     """
-    from twisted.internet import reactor  # noqa: PLC0415
-
-    failed: list[int] = []
-
-    async def run_all() -> None:
-        for seed in seeds or (1,):
-            run_folder = pathlib.Path(folder or tempfile.mkdtemp()) / str(seed)
-            run_folder.mkdir(parents=True, exist_ok=True)
-            report = await SoakRun(
-                reactor, seed, nodes, seconds, bounds, run_folder
-            ).run()
-            print(json.dumps(dataclasses.asdict(report)), flush=True)
-            if report.problems:
-                failed.append(seed)
-                print(f"logs: {run_folder}", file=sys.stderr)
-        if failed:
-            raise SystemExit(1)
-
-    task.react(lambda _: defer.ensureDeferred(run_all()))
+
+    def play(
+        reactor: typing.Any, seed: int, run_folder: pathlib.Path
+    ) -> typing.Awaitable[Report]:
+        run = SoakRun(reactor, seed, nodes, seconds, bounds, run_folder)
+        return run.run()
+
+    seeded_runs.play_seeds(seeds, folder, play)
 
 
 def main() -> None:
--- a/packages/soak/src/godwitflow/soak/store_troubles.py
+++ b/packages/soak/src/godwitflow/soak/store_troubles.py
@@ -8,16 +8,12 @@
 """
 
 import dataclasses
-import json
 import pathlib
 import random
 import signal
-import sys
-import tempfile
 import typing
 
 import cyclopts
-from twisted.internet import defer
 from twisted.internet import task
 from twisted.web import client
 
@@ -28,6 +24,7 @@
 from godwitflow.soak import history as histories
 from godwitflow.soak import processes
 from godwitflow.soak import proxies
+from godwitflow.soak import seeded_runs
 from godwitflow.soak import state_checks
 from godwitflow.standins import fixtures
 from godwitflow.store import memory_object_store
@@ -43,7 +40,6 @@
 BACKUP_AGES_S = (1.0, 5.0)
 AWAY_S = (0.2, 1.5)
 SETTLE_S = 6.0
-START_TIMEOUT_S = 60.0
 METRIC_TIMEOUT_S = 3.0
 MODES = (
     proxies.Mode.RESET,
@@ -118,20 +114,12 @@
 
     async def run(self) -> Report:
         """Play all episodes and check the result."""
-        self._reactor.addSystemEventTrigger(
-            "before", "shutdown", self._kill_nodes
+        await seeded_runs.kill_after(
+            self._reactor, self._deployment.nodes, self._play()
         )
-        try:
-            await self._play()
-        finally:
-            self._kill_nodes()
         self._fill_report()
         return self.report
 
-    def _kill_nodes(self) -> None:
-        for node in self._deployment.nodes:
-            node.kill()
-
     async def _play(self) -> None:
         for node in self._deployment.nodes:
             node.start()
@@ -154,15 +142,9 @@
         await task.deferLater(self._reactor, seconds)
 
     async def _wait_until_ready(self) -> None:
-        timeout_at_s = self._reactor.seconds() + START_TIMEOUT_S
-        for node in self._deployment.nodes:
-            while not await callers.is_ready(self._reactor, node.endpoints):
-                if self._reactor.seconds() > timeout_at_s:
-                    self.report.problems.append(
-                        f"unready: {node.endpoints.name}"
-                    )
-                    return
-                await self._sleep(0.1)
+        self.report.problems += await seeded_runs.wait_until_ready(
+            self._reactor, self._deployment.nodes
+        )
 
     # What goes on all the time ------------------------------------------
 
@@ -421,26 +403,16 @@
         Where to put the nodes' logs and settings; a new temporary folder by
         default.
     """
-    from twisted.internet import reactor  # noqa: PLC0415
 
-    failed: list[int] = []
+    def play(
+        reactor: typing.Any, seed: int, run_folder: pathlib.Path
+    ) -> typing.Awaitable[Report]:
+        run = TroubledRun(
+            reactor, seed, nodes, seconds, restores, bounds, run_folder
+        )
+        return run.run()
 
-    async def run_all() -> None:
-        for seed in seeds or (1,):
-            run_folder = pathlib.Path(folder or tempfile.mkdtemp()) / str(seed)
-            run_folder.mkdir(parents=True, exist_ok=True)
-            run = TroubledRun(
-                reactor, seed, nodes, seconds, restores, bounds, run_folder
-            )
-            report = await run.run()
-            print(json.dumps(dataclasses.asdict(report)), flush=True)
-            if report.problems:
-                failed.append(seed)
-                print(f"logs: {run_folder}", file=sys.stderr)
-        if failed:
-            raise SystemExit(1)
-
-    task.react(lambda _: defer.ensureDeferred(run_all()))
+    seeded_runs.play_seeds(seeds, folder, play)
 
 
 def main() -> None:
