--- a/packages/tier/tests/test_replication.py
+++ b/packages/tier/tests/test_replication.py
@@ -4,130 +4,21 @@
 import unittest
 
 import node_fixture
-import simulation
-from twisted.internet import task
+import replicating_fleet
 
 from godwitflow.http1 import callers
 from godwitflow.http1 import messages as http_messages
 from godwitflow.model import errors
-from godwitflow.model import ids
 from godwitflow.policy import store_watch
-from godwitflow.store import memory_object_store
 from godwitflow.store import objects
 from godwitflow.tier import replication
-from godwitflow.tier import traffic
 from godwitflow.wire import messages
 
-KIND = "servers"
-MAX_DELAY_MS = 3_000.0
+KIND = replicating_fleet.KIND
+MAX_DELAY_MS = replicating_fleet.MAX_DELAY_MS
 STATES = messages.MemberState
 
 
-class ReplicatingNode(replication.Replication):
-    """Replication that fetches directly from the other node's copy.
-
-    A frozen node neither receives messages nor serves fetches.
-    """
-
-    def __init__(self, fleet, number):
-        self.fleet = fleet
-        self.name = ids.NodeId(f"n{number}")
-        self.frozen = False
-        self.revision_by_name = {}
-        self.sent_count = 0
-        self.restored_count = 0
-        super().__init__(
-            fleet.clock,
-            fleet.store.client_for(self.name),
-            [KIND],
-            self.name,
-            self,
-            self,
-            fleet.now_ms,
-            simulation.RecordingLog(),
-            0.0 if number < 3 else 500.0,
-            traffic.Traffic(ids.FailureDomain("d1")),
-        )
-        self.on_restored = self.count_restored
-
-    def count_restored(self):
-        self.restored_count += 1
-
-    def non_dead_members(self):
-        return self.fleet.members
-
-    def send_to(self, nodes, message):
-        self.sent_count += len(nodes)
-        for name in nodes:
-            node = self.fleet.node_by_name[name]
-            if self.fleet.can_reach(self, node):
-                self.fleet.clock.callLater(
-                    0.001, node.receive, self.name, message
-                )
-
-    def receive(self, inner_address, message):
-        if not self.frozen:
-            self.on_revisions(inner_address, message)
-
-    async def fetch(self, inner_address, kind, after):
-        other = self.fleet.node_by_name[inner_address]
-        await task.deferLater(self.fleet.clock, 0.002)
-        if other.frozen or not self.fleet.can_reach(self, other):
-            raise errors.StoreUnavailableError("unreachable")
-        return other.followers[kind].copy.delta_after(after)
-
-    def on_changes(self, kind, changes, after_outage):
-        for change in changes:
-            if change.removed:
-                self.revision_by_name.pop(change.object.name, None)
-            else:
-                self.revision_by_name[change.object.name] = (
-                    change.object.revision
-                )
-
-
-class Fleet:
-    """Nodes that replicate one store, under a virtual clock."""
-
-    def __init__(self, count):
-        self.clock = task.Clock()
-        self.clock.advance(100.0)
-        self.store = memory_object_store.MemoryObjectStore(self.clock)
-        self.store.write(KIND, "a", {})
-        self.can_reach = lambda origin, target: True
-        self.nodes = []
-        self.members = [
-            messages.MemberUpdate(
-                f"n{number}", "d", f"n{number}", "", "", 1, STATES.ALIVE
-            )
-            for number in range(count)
-        ]
-        self.nodes = [ReplicatingNode(self, number) for number in range(count)]
-        self.node_by_name = {node.name: node for node in self.nodes}
-        for node in self.nodes:
-            node.start()
-
-    def restart(self, number):
-        """Replace a node by one that has no copy yet."""
-        self.nodes[number].stop()
-        self.nodes[number] = node = ReplicatingNode(self, number)
-        self.node_by_name[node.name] = node
-        node.start()
-
-    def now_ms(self):
-        return self.clock.seconds() * 1_000.0
-
-    def advance(self, for_ms):
-        for _ in range(int(for_ms / 20.0)):
-            self.clock.advance(0.02)
-            for node in self.nodes:
-                if not node.frozen:
-                    node.tick()
-
-    def in_sync_nodes(self):
-        return [node for node in self.nodes if node.followers[KIND].in_sync]
-
-
 class FetchingPeer:
     """A peer's connection that records the response."""
 
@@ -142,7 +33,7 @@
     """Serves fetches after many changes of one large object in a row."""
 
     def setUp(self):
-        self.fleet = Fleet(1)
+        self.fleet = replicating_fleet.Fleet(1)
         self.fleet.advance(1_000.0)
         self.node = self.fleet.nodes[0]
         self.after = self.node.followers[KIND].copy.revision
@@ -212,7 +103,7 @@
         return [name in node.revision_by_name for node in fleet.nodes]
 
     def test_change_reaches_all_nodes_in_time(self):
-        fleet = Fleet(9)
+        fleet = replicating_fleet.Fleet(9)
         fleet.advance(3_000.0)
         fleet.store.write(KIND, "b", {})
         fleet.advance(500.0)
@@ -220,7 +111,7 @@
 
     def test_store_calls_do_not_grow_with_fleet(self):
         for count in (9, 64, 200):
-            fleet = Fleet(count)
+            fleet = replicating_fleet.Fleet(count)
             fleet.advance(3_000.0)
             fleet.store.calls_by_client.clear()
             fleet.advance(16_000.0)
@@ -231,7 +122,7 @@
             self.assertLessEqual(max(waiting), 3)
 
     def test_unrelated_changes_cause_few_fetches(self):
-        fleet = Fleet(9)
+        fleet = replicating_fleet.Fleet(9)
         fleet.advance(3_000.0)
         revisions = {
             node.followers[KIND].copy.revision for node in fleet.nodes
@@ -247,7 +138,7 @@
     def test_announcements_per_node_do_not_grow_with_fleet(self):
         sent_per_s = {}
         for count in (64, 160):
-            fleet = Fleet(count)
+            fleet = replicating_fleet.Fleet(count)
             fleet.advance(3_000.0)
             for node in fleet.nodes:
                 node.sent_count = 0
@@ -259,7 +150,7 @@
         self.assertLess(sent_per_s[160], 1.2 * sent_per_s[64])
 
     def test_change_reaches_all_nodes_despite_frozen_ones(self):
-        fleet = Fleet(100)
+        fleet = replicating_fleet.Fleet(100)
         fleet.advance(3_000.0)
         ranking = store_watch.rank_nodes(
             fleet.nodes[0].name, fleet.node_by_name, "store"
@@ -276,7 +167,7 @@
         self.assertEqual([], missing)
 
     def test_node_without_copy_announces_no_fresh_revision(self):
-        fleet = Fleet(9)
+        fleet = replicating_fleet.Fleet(9)
         announced = [
             node.followers[KIND].kind_revision() for node in fleet.nodes
         ]
@@ -286,7 +177,7 @@
             self.assertFalse(kind.fresh)
 
     def test_no_announcement_stays_fresh_after_store_loss(self):
-        fleet = Fleet(64)
+        fleet = replicating_fleet.Fleet(64)
         fleet.advance(3_000.0)
         fleet.store.should_reject = lambda caller: True
         fleet.advance(12_000.0)
@@ -295,7 +186,7 @@
 
     def test_change_arrives_in_time_without_the_watchers(self):
         for fault in ("freeze", "refuse", "both"):
-            fleet = Fleet(9)
+            fleet = replicating_fleet.Fleet(9)
             fleet.advance(3_000.0)
             watchers = {node.name for node in fleet.in_sync_nodes()}
             self.assertEqual(3, len(watchers))
@@ -317,7 +208,7 @@
     def assert_change_arrives_in_time(self, disturb):
         """Disturb fleets at several moments, and write a change each time."""
         for phase_ms in range(0, 2_000, 200):
-            fleet = Fleet(9)
+            fleet = replicating_fleet.Fleet(9)
             fleet.advance(3_000.0 + phase_ms)
             disturb(fleet)
             fleet.advance(20.0)
@@ -341,7 +232,7 @@
         )
 
     def test_change_arrives_in_time_while_first_ranks_hear_nothing(self):
-        fleet = Fleet(64)
+        fleet = replicating_fleet.Fleet(64)
         fleet.advance(3_000.0)
         ranking = store_watch.rank_nodes(
             fleet.nodes[0].name, fleet.node_by_name, "store"
@@ -353,7 +244,7 @@
         self.assertTrue(all(self.nodes_have(fleet, "b")))
 
     def test_no_announcement_is_fresh_while_the_store_is_silent(self):
-        fleet = Fleet(9)
+        fleet = replicating_fleet.Fleet(9)
         fleet.advance(3_000.0)
         fleet.store.is_silent_to = lambda caller: True
         fleet.advance(2_000.0)
@@ -361,7 +252,7 @@
             self.assertFalse(node.followers[KIND].kind_revision().fresh)
 
     def test_nodes_refused_by_store_follow_through_peers(self):
-        fleet = Fleet(9)
+        fleet = replicating_fleet.Fleet(9)
         refused = {f"n{number}" for number in (0, 4, 8)}
         fleet.store.should_reject = lambda caller: caller in refused
         fleet.advance(4_000.0)
@@ -370,7 +261,7 @@
         self.assertTrue(all(self.nodes_have(fleet, "b")))
 
     def test_isolated_node_follows_store(self):
-        fleet = Fleet(9)
+        fleet = replicating_fleet.Fleet(9)
         fleet.advance(3_000.0)
         isolated = next(
             node for node in fleet.nodes if node not in fleet.in_sync_nodes()
@@ -384,7 +275,7 @@
         self.assertIn("b", isolated.revision_by_name)
 
     def test_dropped_history_causes_new_listing(self):
-        fleet = Fleet(9)
+        fleet = replicating_fleet.Fleet(9)
         fleet.advance(3_000.0)
         fleet.store.should_reject = lambda caller: True
         fleet.advance(3_000.0)
@@ -397,7 +288,7 @@
             self.assertEqual(["b"], list(node.revision_by_name))
 
     def test_revisions_never_decrease(self):
-        fleet = Fleet(9)
+        fleet = replicating_fleet.Fleet(9)
         fleet.advance(2_000.0)
         last = {node.name: objects.NO_REVISION for node in fleet.nodes}
         for step in range(100):
@@ -414,7 +305,7 @@
                 last[node.name] = revision
 
     def test_outage_causes_few_store_calls(self):
-        fleet = Fleet(64)
+        fleet = replicating_fleet.Fleet(64)
         fleet.advance(3_000.0)
         fleet.store.should_reject = lambda caller: True
         before = fleet.store.calls
@@ -422,7 +313,7 @@
         self.assertLess(fleet.store.calls - before, 120)
 
     def test_changes_after_outage_are_marked(self):
-        fleet = Fleet(3)
+        fleet = replicating_fleet.Fleet(3)
         fleet.advance(2_000.0)
         marks = []
         fleet.nodes[0].on_changes = lambda kind, changes, after_outage: (
@@ -440,145 +331,6 @@
         self.assertTrue(marks[-1])
 
 
-class RestoredStoreTest(unittest.TestCase):
-    """The store is away for a moment and comes back from a backup."""
-
-    def restore(self, fleet, backup):
-        """Restore the store after 1 s in which it refuses all calls."""
-        fleet.store.should_reject = lambda caller: True
-        fleet.advance(1_000.0)
-        fleet.store.restore(backup)
-        fleet.store.should_reject = lambda caller: False
-
-    def names(self, fleet):
-        return [set(node.revision_by_name) for node in fleet.nodes]
-
-    def copies(self, fleet):
-        return [node.followers[KIND].copy for node in fleet.nodes]
-
-    def play(self, count):
-        """Restore a store that has lost changes; return the fleet."""
-        fleet = Fleet(count)
-        fleet.advance(3_000.0)
-        backup = fleet.store.backup()
-        for number in range(10):
-            fleet.store.write(KIND, f"lost{number}", {})
-        fleet.advance(MAX_DELAY_MS)
-        self.restore(fleet, backup)
-        return fleet
-
-    def test_changes_of_a_restored_store_reach_every_node(self):
-        # All copies kept the higher revision of the era before for good.
-        for count in (3, 9, 64):
-            fleet = self.play(count)
-            fleet.store.write(KIND, "b", {})
-            fleet.advance(MAX_DELAY_MS)
-            self.assertEqual([{"a", "b"}] * count, self.names(fleet))
-
-    def test_all_nodes_get_to_know_once_that_the_store_was_restored(self):
-        fleet = self.play(9)
-        fleet.advance(MAX_DELAY_MS)
-        self.assertEqual(
-            [1] * 9, [node.restored_count for node in fleet.nodes]
-        )
-        for node in fleet.nodes:
-            events = [event for event, _ in node.log.lines]
-            self.assertEqual(1, events.count("store_restored"))
-
-    def test_restored_store_is_called_no_more_than_before(self):
-        # Each watcher listed it thousands of times a second.
-        fleet = self.play(9)
-        fleet.advance(MAX_DELAY_MS)
-        before = fleet.store.calls
-        fleet.advance(9_000.0)
-        self.assertLess(fleet.store.calls - before, 20)
-
-    def test_store_that_has_given_the_numbers_out_again_is_followed(self):
-        # No watch fails then: only the era tells that changes were lost.
-        fleet = Fleet(9)
-        fleet.advance(3_000.0)
-        backup = fleet.store.backup()
-        fleet.store.write(KIND, "lost", {})
-        fleet.advance(MAX_DELAY_MS)
-        fleet.store.restore(backup)
-        for number in range(30):
-            fleet.store.write(KIND, f"b{number}", {})
-        fleet.advance(MAX_DELAY_MS)
-        expected = {"a"} | {f"b{number}" for number in range(30)}
-        self.assertEqual([expected] * 9, self.names(fleet))
-
-    def test_restarted_node_gets_no_copy_of_the_era_before(self):
-        fleet = self.play(9)
-        fleet.restart(5)
-        fleet.store.write(KIND, "b", {})
-        fleet.restart(6)
-        fleet.advance(MAX_DELAY_MS)
-        self.assertEqual([{"a", "b"}] * 9, self.names(fleet))
-        (revision,) = {copy.revision for copy in self.copies(fleet)}
-        self.assertEqual(2, revision.era)
-
-    def test_peer_of_the_era_before_does_not_confirm_a_copy(self):
-        # A node believed such peers and did not look for itself.
-        fleet = self.play(9)
-        fleet.advance(MAX_DELAY_MS)
-        node = fleet.nodes[8]
-        outdated = messages.KindRevision(KIND, 10_000, True, 0.0, 1)
-        fleet.can_reach = lambda origin, target: target is not node
-        for step in range(8):
-            node.on_revisions("n1", messages.Revisions((outdated,)))
-            fleet.store.write(KIND, f"b{step}", {})
-            fleet.advance(500.0)
-        self.assertIn("b0", node.revision_by_name)
-
-    def test_restored_store_that_states_no_new_era_is_not_hammered(self):
-        fleet = Fleet(9)
-        fleet.advance(3_000.0)
-        backup = fleet.store.backup()
-        fleet.store.write(KIND, "lost", {})
-        fleet.advance(MAX_DELAY_MS)
-        fleet.store.restore(backup)
-        era, number = fleet.store.revision
-        fleet.store.revision = objects.Revision(era - 1, number)
-        before = fleet.store.calls
-        fleet.advance(5_000.0)
-        self.assertLess(fleet.store.calls - before, 200)
-        (watcher, *_) = [
-            node
-            for node in fleet.nodes
-            if "store_lost" in [event for event, _ in node.log.lines]
-        ]
-        (error,) = [
-            fields["error"]
-            for event, fields in watcher.log.lines
-            if event == "store_lost"
-        ]
-        self.assertIn("older than the copy", error)
-
-    def test_repeated_restores_leave_all_nodes_with_the_newest(self):
-        for seed in range(20):
-            rng = random.Random(seed)
-            fleet = Fleet(9)
-            fleet.advance(2_000.0)
-            for step in range(6):
-                backup = fleet.store.backup()
-                for number in range(rng.randrange(4)):
-                    fleet.store.write(KIND, f"lost{step}-{number}", {})
-                    fleet.advance(rng.choice((20.0, 400.0)))
-                if rng.random() < 0.5:
-                    fleet.restart(rng.randrange(9))
-                frozen = rng.choice(fleet.nodes)
-                frozen.frozen = True
-                self.restore(fleet, backup)
-                fleet.advance(rng.choice((60.0, 600.0, 2_500.0)))
-                frozen.frozen = False
-            fleet.store.write(KIND, "newest", {})
-            fleet.advance(MAX_DELAY_MS)
-            expected = {
-                stored.name for stored in fleet.store.listing(KIND).objects
-            }
-            self.assertEqual([expected] * 9, self.names(fleet), seed)
-
-
 class WithdrawnEntriesTest(unittest.TestCase):
     """What was removed from the store does not come back on any node."""
 
@@ -606,7 +358,7 @@
 
     def play(self, seed):
         rng = random.Random(seed)
-        fleet = Fleet(9)
+        fleet = replicating_fleet.Fleet(9)
         fleet.advance(2_000.0)
         names = {"a"}
         newest = {}
