Forget removed upstreams whenever one is removed

Found by reading the change again: entries of removed upstreams, kept to tell what a restored store brings back, were dropped only when something expired, so each upstream that ever left could take memory for good. The doctests of revisions, of who watches the store and of disturbances run now.

--- a/packages/policy/src/godwitflow/policy/registrations.py
+++ b/packages/policy/src/godwitflow/policy/registrations.py
@@ -119,6 +119,7 @@
         if row is not None and row.entry.revision < revision:
             row.removal = _Removal(revision, now_ms)
             self._removed_rows[name] = self._rows.pop(name)
+            self._forget_removed(now_ms)
 
     def remove_after_grace(
         self, name: ids.UpstreamId, revision: objects.Revision, now_ms: float
--- a/packages/policy/tests/test_registrations.py
+++ b/packages/policy/tests/test_registrations.py
@@ -120,6 +120,16 @@
         self.registry.put(entry(12), 100.0)
         self.assertEqual(["u1"], self.ready())
 
+    def test_removals_are_not_kept_for_good(self):
+        # Each upstream that ever left would have taken memory.
+        memory_ms = registrations.REMOVAL_MEMORY_MS
+        for number in range(100):
+            name = f"x{number}"
+            entry_of_name = registrations.Entry(name, at(20), BASE)
+            self.registry.put(entry_of_name, 0.0)
+            self.registry.remove(name, at(21), number * memory_ms)
+        self.assertEqual(1, len(self.registry._removed_rows))
+
     def test_removals_are_forgotten(self):
         self.registry.remove("u1", at(11), 0.0)
         self.registry.expire(registrations.REMOVAL_MEMORY_MS)
--- a/packages/policy/tests/test_store_copy.py
+++ b/packages/policy/tests/test_store_copy.py
@@ -1,5 +1,6 @@
 """Tests of store copies: deltas in any order never move one backwards."""
 
+import doctest
 import itertools
 import random
 import unittest
@@ -251,3 +252,10 @@
         self.assertTrue(
             store_watch.should_watch(10_000.0, 60, 10_000.0, 1_001.0)
         )
+
+
+def load_tests(loader, tests, pattern):
+    """Add the doctests of revisions and of who watches the store."""
+    tests.addTests(doctest.DocTestSuite(objects))
+    tests.addTests(doctest.DocTestSuite(store_watch))
+    return tests
--- a/packages/soak/tests/test_state_checks.py
+++ b/packages/soak/tests/test_state_checks.py
@@ -1,5 +1,6 @@
 """Tests of the checks that nodes follow the store in time."""
 
+import doctest
 import unittest
 
 from godwitflow.soak import disturbances as disturbed
@@ -89,3 +90,9 @@
         self.assertFalse(self.disturbances.in_touch("n0", 44.3, 44.4))
         self.assertTrue(self.disturbances.in_touch("n0", 44.5, 44.6))
         self.assertTrue(self.disturbances.in_touch("n0", 35.0, 39.9))
+
+
+def load_tests(loader, tests, pattern):
+    """Add the doctest of disturbances."""
+    tests.addTests(doctest.DocTestSuite(disturbed))
+    return tests
