Soak: call faults faults

The new modules named what they inject troubles, and nodes in touch, which are the users' words; the field's are faults and undisturbed. store_troubles is store_faults and troubles is fault_injector.

--- a/packages/soak/src/godwitflow/soak/disturbances.py
+++ b/packages/soak/src/godwitflow/soak/disturbances.py
@@ -37,7 +37,7 @@
         """
         return _is_clear(self._store, at_s)
 
-    def in_touch(self, node: str, from_s: float, to_s: float) -> bool:
+    def undisturbed(self, node: str, from_s: float, to_s: float) -> bool:
         """Return whether a node and the store were undisturbed for long.
 
         That has to hold from a point in time until another one.
@@ -64,7 +64,7 @@
         self._max_gap_s = max_gap_s
         self._seen_at_s: dict[str, float] = {}
 
-    def see(self, node: str, now_s: float) -> None:
+    def observe(self, node: str, now_s: float) -> None:
         """Record that a node is disturbed now, and has been since seen."""
         seen_at_s = self._seen_at_s.get(node, -math.inf)
         start_s = now_s
--- a/packages/soak/src/godwitflow/soak/troubles.py
+++ b/packages/soak/src/godwitflow/soak/fault_injector.py
@@ -1,4 +1,4 @@
-"""Troubles with the store, restarts and changes that a run plays.
+"""Injects faults around the store, restarts nodes and changes things.
 
 Each is noted with the disturbance that it is, and each change with the time at
 which the store confirmed it, so that requests can be judged afterwards.
@@ -18,7 +18,7 @@
 from godwitflow.soak import state_checks
 from godwitflow.store import memory_object_store
 
-TROUBLE_S = (0.3, 3.0)
+FAULT_S = (0.3, 3.0)
 MAX_REPORTS = 20
 BACKUP_AGES_S = (1.0, 5.0)
 AWAY_S = (0.2, 1.5)
@@ -37,8 +37,8 @@
 )
 
 
-class Troubles:
-    """Plays troubles at the ``touched`` nodes, and changes for all.
+class FaultInjector:
+    """Injects faults at the ``touched`` nodes, and makes changes for all.
 
     ``notes`` says what was played and when, in seconds since the start.
     ``disturbances`` and ``confirmations`` are what requests are judged by.
@@ -81,7 +81,7 @@
             self._lives[name] = life
             stopping = self._stopping.get(name) == life
             if restarted or stopping or not node.running:
-                self._ongoing.see(name, now_s)
+                self._ongoing.observe(name, now_s)
 
     def take_backup(self) -> None:
         """Keep a backup of the store as it is now."""
@@ -100,7 +100,7 @@
         mode = self._random.choice(MODES)
         for node in self._choose_touched():
             name = node.endpoints.name
-            duration_s = self._random.uniform(*TROUBLE_S)
+            duration_s = self._random.uniform(*FAULT_S)
             proxy = self._deployment.store_proxies[name]
             proxy.set_mode(mode)
             self._reactor.callLater(
@@ -127,12 +127,12 @@
         sent = faults.send_signal(node, number)
         self.note(sent.description)
         if number is signal.SIGSTOP:
-            duration_s = self._random.uniform(*TROUBLE_S)
+            duration_s = self._random.uniform(*FAULT_S)
             self._reactor.callLater(duration_s, sent.undo)
             self.disturbances.add_node(name, now_s, now_s + duration_s)
         elif number is not signal.SIGHUP:
             self._stopping[name] = len(node.exit_codes)
-            self._ongoing.see(name, now_s)
+            self._ongoing.observe(name, now_s)
 
     # For all nodes ------------------------------------------------------
 
--- a/packages/soak/src/godwitflow/soak/state_checks.py
+++ b/packages/soak/src/godwitflow/soak/state_checks.py
@@ -1,6 +1,6 @@
 """Checks that nodes follow what the store has confirmed, in time.
 
-A node that was in touch has to handle a request as the newest configuration
+A node that was undisturbed has to handle a request as the newest configuration
 says, and to leave an upstream alone that drains or is gone.
 """
 
@@ -67,7 +67,7 @@
     confirmations: Confirmations,
     disturbances: disturbed.Disturbances,
 ) -> Verdict:
-    """Judge all requests that nodes in touch handled."""
+    """Judge all requests that undisturbed nodes handled."""
     verdict = Verdict()
     for record in history.requests.values():
         if record.kind is histories.Kind.VERSIONED and record.status > 0:
@@ -86,7 +86,7 @@
     verdict: Verdict,
 ) -> None:
     node = record.process.partition("/")[0]
-    if not disturbances.in_touch(node, record.sent_at_s, record.ended_at_s):
+    if not disturbances.undisturbed(node, record.sent_at_s, record.ended_at_s):
         return
     verdict.judged_for_configuration += 1
     due = confirmations.due_configuration(record.sent_at_s)
@@ -110,7 +110,7 @@
         if record is None or not arrival.ran:
             continue
         node = record.process.partition("/")[0]
-        if not disturbances.in_touch(node, record.sent_at_s, arrival.at_s):
+        if not disturbances.undisturbed(node, record.sent_at_s, arrival.at_s):
             continue
         verdict.judged_for_draining += 1
         withdrawn_at_s = confirmations.withdrawn_at_s.get(arrival.upstream)
--- a/packages/soak/src/godwitflow/soak/store_troubles.py
+++ b/packages/soak/src/godwitflow/soak/store_faults.py
@@ -1,4 +1,4 @@
-"""Plays troubles with the store over restarts and changes.
+"""Injects faults around the store, over restarts and changes.
 
 In each episode a few nodes stay untouched. The others lose their connections
 to the store, are restarted and are suspended, one over another, while
@@ -18,16 +18,16 @@
 
 from godwitflow.soak import callers
 from godwitflow.soak import deployment as deployments
+from godwitflow.soak import fault_injector
 from godwitflow.soak import history as histories
 from godwitflow.soak import processes
 from godwitflow.soak import seeded_runs
 from godwitflow.soak import state_checks
-from godwitflow.soak import troubles
 from godwitflow.standins import fixtures
 
 EPISODE_S = 14.0
 QUIET_SHARE = 0.5
-STEPS_S = ((0.15, 0.8), (2.0, 4.0))  # from one trouble to the next
+STEPS_S = ((0.15, 0.8), (2.0, 4.0))  # from one fault to the next
 ASK_INTERVAL_S = 0.08
 LOOK_INTERVAL_S = 0.1
 BACKUP_INTERVAL_S = 0.5
@@ -39,7 +39,9 @@
     histories.Kind.GATHER,
 )
 
-app = cyclopts.App(help="Trouble the store of real nodes; check each node.")
+app = cyclopts.App(
+    help="Inject faults around the store of real nodes; check each node."
+)
 
 
 @dataclasses.dataclass(slots=True)
@@ -52,11 +54,11 @@
     judged_for_draining: int = 0
     restores: int = 0
     restarts: int = 0
-    troubles: list[str] = dataclasses.field(default_factory=list)
+    faults: list[str] = dataclasses.field(default_factory=list)
     problems: list[str] = dataclasses.field(default_factory=list)
 
 
-class TroubledRun:
+class StoreFaultsRun:
     """A run with one seed."""
 
     def __init__(
@@ -78,7 +80,7 @@
         self._deployment = deployments.Deployment(
             reactor, nodes, folder, random.Random(seed + 1)
         )
-        self._troubles = troubles.Troubles(
+        self._injector = fault_injector.FaultInjector(
             reactor, self._deployment, self._random, 3.0 * LOOK_INTERVAL_S
         )
         self._stopped = False
@@ -103,7 +105,7 @@
         await self._sleep(fixtures.STABLE_WINDOW_S)
         while self._reactor.seconds() < end_s:
             await self._play_episode()
-        await self._sleep(troubles.TROUBLE_S[1] + SETTLE_S)
+        await self._sleep(fault_injector.FAULT_S[1] + SETTLE_S)
         await self._wait_until_ready()
         await self._compare_nodes()
         self._stopped = True
@@ -140,37 +142,37 @@
 
     async def _look(self) -> None:
         while not self._stopped:
-            self._troubles.look()
+            self._injector.look()
             await self._sleep(LOOK_INTERVAL_S)
 
     async def _take_backups(self) -> None:
         while not self._stopped:
-            self._troubles.take_backup()
+            self._injector.take_backup()
             await self._sleep(BACKUP_INTERVAL_S)
 
     # Episodes -----------------------------------------------------------
 
     async def _play_episode(self) -> None:
-        played = self._troubles
+        injector = self._injector
         nodes = list(self._deployment.nodes)
         self._random.shuffle(nodes)
-        played.touched = nodes[int(len(nodes) * QUIET_SHARE) :]
+        injector.touched = nodes[int(len(nodes) * QUIET_SHARE) :]
         step_s = self._random.choice(STEPS_S)
-        names = sorted(node.endpoints.name for node in played.touched)
-        played.note(f"episode, touches {' '.join(names)}")
+        names = sorted(node.endpoints.name for node in injector.touched)
+        injector.note(f"episode, touches {' '.join(names)}")
         end_s = self._reactor.seconds() + EPISODE_S
         if self._restores:
-            await played.restore_store()
+            await injector.restore_store()
         while self._reactor.seconds() < end_s:
             play = self._random.choice(
                 (
-                    played.lose_store_connections,
-                    played.silence_store_connections,
-                    played.signal_node,
-                    played.change_configuration,
-                    played.change_configuration,
-                    played.replace_upstream,
-                    played.replace_upstream,
+                    injector.lose_store_connections,
+                    injector.silence_store_connections,
+                    injector.signal_node,
+                    injector.change_configuration,
+                    injector.change_configuration,
+                    injector.replace_upstream,
+                    injector.replace_upstream,
                 )
             )
             play()
@@ -211,13 +213,13 @@
         history = self._deployment.history
         verdict = state_checks.judge(
             history,
-            self._troubles.confirmations,
-            self._troubles.disturbances,
+            self._injector.confirmations,
+            self._injector.disturbances,
         )
         report = self.report
         report.requests = len(history.requests)
-        report.troubles = self._troubles.notes
-        report.restores = self._troubles.restore_count
+        report.faults = self._injector.notes
+        report.restores = self._injector.restore_count
         report.judged_for_configuration = verdict.judged_for_configuration
         report.judged_for_draining = verdict.judged_for_draining
         report.restarts = sum(
@@ -229,7 +231,7 @@
 
 
 @app.default
-def trouble(
+def soak(
     *seeds: int,
     nodes: int = 9,
     seconds: float = 45.0,
@@ -237,16 +239,16 @@
     bounds: bool = True,
     folder: pathlib.Path | None = None,
 ) -> None:
-    """Play troubles with the store; exit with 1 if a check fails.
+    """Inject faults around the store; exit with 1 if a check fails.
 
     Parameters
     ----------
     seeds
-        One run for each; the seed determines the troubles.
+        One run for each; the seed determines the faults.
     nodes
         Number of nodes.
     seconds
-        How long troubles are played.
+        How long faults are injected.
     restores
         Also restore the store from a backup, once an episode.
     bounds
@@ -259,7 +261,7 @@
     def play(
         reactor: typing.Any, seed: int, run_folder: pathlib.Path
     ) -> typing.Awaitable[Report]:
-        run = TroubledRun(
+        run = StoreFaultsRun(
             reactor, seed, nodes, seconds, restores, bounds, run_folder
         )
         return run.run()
--- a/packages/soak/tests/test_state_checks.py
+++ b/packages/soak/tests/test_state_checks.py
@@ -86,10 +86,10 @@
     def test_moments_close_together_make_one_interval(self):
         ongoing = disturbed.Ongoing(self.disturbances, 0.3)
         for now_s in (40.0, 40.2, 40.4):
-            ongoing.see("n0", now_s)
-        self.assertFalse(self.disturbances.in_touch("n0", 44.3, 44.4))
-        self.assertTrue(self.disturbances.in_touch("n0", 44.5, 44.6))
-        self.assertTrue(self.disturbances.in_touch("n0", 35.0, 39.9))
+            ongoing.observe("n0", now_s)
+        self.assertFalse(self.disturbances.undisturbed("n0", 44.3, 44.4))
+        self.assertTrue(self.disturbances.undisturbed("n0", 44.5, 44.6))
+        self.assertTrue(self.disturbances.undisturbed("n0", 35.0, 39.9))
 
 
 def load_tests(loader, tests, pattern):
--- a/packages/soak/tests/test_store_troubles.py
+++ b/packages/soak/tests/test_store_faults.py
@@ -1,4 +1,4 @@
-"""A short run of troubles with the store over restarts and changes."""
+"""A short run of faults around the store over restarts and changes."""
 
 import json
 import subprocess
@@ -7,14 +7,14 @@
 import unittest
 
 
-class StoreTroublesTest(unittest.TestCase):
+class StoreFaultsTest(unittest.TestCase):
     def test_all_nodes_follow_a_restored_store(self):
         # They kept the configuration of before, and drained upstreams.
         with tempfile.TemporaryDirectory() as folder:
             done = subprocess.run(
                 [
                     sys.executable,
-                    *("-W", "ignore", "-m", "godwitflow.soak.store_troubles"),
+                    *("-W", "ignore", "-m", "godwitflow.soak.store_faults"),
                     *("4", "--nodes", "5", "--seconds", "6", "--no-bounds"),
                     *("--folder", folder),
                 ],
